Lay out the workspace and the contract of the decision core

Cause: an empty repository. The parts are built side by side, so what they share comes first: the vocabulary (model), the datagram header (wire), the placement messages (placementpb), and the events, effects and blackboard sections of the decision core (core).

Before: nothing. Conclusion: the contract is fixed; each controller now gets its own package.

--- /dev/null
+++ b/cmd/amaranthctl/main.go
@@ -0,0 +1,4 @@
+// Command amaranthctl is the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/board.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// Board is the blackboard of one node. Each section names its one writer.
+type Board struct {
+	Self     SelfSection
+	Config   ConfigSection
+	Members  MemberSection
+	Peers    PeerSection
+	Lease    LeaseSection
+	Routes   RouteSection
+	Flows    FlowSection
+	Load     LoadSection
+	Requests RequestSection
+}
+
+// NewBoard returns the board of a node that has just started.
+func NewBoard(self model.Member) *Board {
+	return &Board{
+		Self:    SelfSection{Member: self},
+		Config:  ConfigSection{Current: model.NewConfig()},
+		Members: MemberSection{Records: make(map[model.NodeID]model.Member)},
+		Peers:   PeerSection{Sessions: make(map[model.NodeID]Session)},
+		Routes:  RouteSection{Views: make(map[model.ServiceID]*View)},
+	}
+}
+
+// SelfSection is the node's own record and its stop state. Writer: lifecycle
+// controller (package lifecycle).
+type SelfSection struct {
+	Member model.Member
+	// Announced reports that a target has announced itself and was accepted.
+	Announced bool
+	// Stopping is set by a planned stop: no new work, in-flight work finishes.
+	Stopping bool
+	// Out reports that operators have taken this node's failure domain out.
+	Out bool
+}
+
+// TakesNewWork reports whether the node may admit flows and requests.
+func (s *SelfSection) TakesNewWork() bool {
+	return s.Announced && !s.Stopping && !s.Out && s.Member.State == model.StateAlive
+}
+
+// ConfigSection is the configuration in force. Writer: configuration
+// controller (package configuration).
+type ConfigSection struct {
+	Current *model.Config
+	// Generation rises with every change to Current.
+	Generation uint64
+}
+
+// MemberSection is the known members, gone ones included until forgotten.
+// Writer: membership controller (package membership).
+type MemberSection struct {
+	Records map[model.NodeID]model.Member
+	// Generation rises with every change to Records.
+	Generation uint64
+}
+
+// Session is an open control session with a peer.
+type Session struct {
+	Peer model.NodeID
+	Role model.Role
+	// Service is the subscription of an agent, empty for balancers.
+	Service model.ServiceName
+	// ConfigVersion is the newest version the peer is known to hold.
+	ConfigVersion uint64
+	Since         time.Time
+}
+
+// PeerSection is the open control sessions. Writer: dissemination controller
+// (package dissemination).
+type PeerSection struct {
+	Sessions map[model.NodeID]Session
+}
+
+// LeaseSection is an agent's right to act as a home and admit work. Writer:
+// membership controller (package membership).
+type LeaseSection struct {
+	// ValidUntil is when the lease lapses unless a watcher acknowledges a
+	// heartbeat before.
+	ValidUntil time.Time
+}
+
+// Valid reports whether the lease holds at the time.
+func (l *LeaseSection) Valid(now time.Time) bool {
+	return now.Before(l.ValidUntil)
+}
+
+// Candidate is a member as the placement of one service sees it.
+type Candidate struct {
+	Member model.Member
+	// Seed is the hash of the node's name, mixed with a flow's hash to score.
+	Seed uint64
+	// Admits reports whether the member may be offered new flows.
+	Admits bool
+}
+
+// View is the candidates of one service. It is immutable once published.
+type View struct {
+	Service model.ServiceName
+	Mode    model.Mode
+	// Digest is equal on nodes with the same candidates and incarnations.
+	Digest     uint64
+	Candidates []Candidate
+	// Changed is when this node last saw the digest change.
+	Changed time.Time
+}
+
+// RouteSection is the views by service. Writer: routing controller (package
+// routing).
+type RouteSection struct {
+	Views map[model.ServiceID]*View
+	// Generation rises with every change to Views.
+	Generation uint64
+}
+
+// FlowSection counts the flows of an agent. The tables behind it belong to
+// the directory controller (package directory), its writer.
+type FlowSection struct {
+	// Held is the number of flows this agent holds.
+	Held int
+	// Directory is the number of flows whose home this agent is.
+	Directory int
+}
+
+// LoadSection is what an agent's target bears. Writer: admission controller
+// (package admission).
+type LoadSection struct {
+	// Limit is the concurrent requests the target bears now, at most Slots.
+	Limit    int
+	InFlight int
+	Queued   int
+	// Cold reports that the limit is still being learnt.
+	Cold bool
+}
+
+// RequestSection counts requests by outcome. Writer: admission controller
+// (package admission).
+type RequestSection struct {
+	Admitted, Finished, RefusedNotRun, OutcomeUnknown, HandedOver uint64
+}
--- /dev/null
+++ b/internal/core/effects.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"net/netip"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// Effect is something that a process carries out for its node.
+type Effect interface{ effect() }
+
+// Dial opens a control session to the address. The outcome comes back as
+// SessionOpened or DialFailed.
+type Dial struct{ Addr netip.AddrPort }
+
+// Hangup closes the control session with a peer.
+type Hangup struct {
+	Peer   model.NodeID
+	Reason string
+}
+
+// SendMessage sends a control message to a peer with an open session.
+type SendMessage struct {
+	To      model.NodeID
+	Message Message
+}
+
+// SendDatagram sends a datagram to another agent.
+type SendDatagram struct {
+	To      netip.AddrPort
+	Header  wire.Header
+	Payload []byte
+}
+
+// Deliver hands a caller's datagram to the local end of a held flow.
+type Deliver struct {
+	Flow    model.FlowKey
+	Payload []byte
+}
+
+// CloseFlow ends a held flow at its local end.
+type CloseFlow struct {
+	Flow   model.FlowKey
+	Reason string
+}
+
+// PublishRoutes hands the current views to the packet path.
+type PublishRoutes struct{ Views map[model.ServiceID]*View }
+
+// LoadStore asks for the objects of the store that changed after a version.
+// The outcome comes back as StoreLoaded or StoreFailed.
+type LoadStore struct{ Since uint64 }
+
+// WatchStore turns the watch over the store's version key on or off. While it
+// is on, the process sends StoreLoaded whenever the version has risen.
+type WatchStore struct{ On bool }
+
+// Log reports something that operators want to know.
+type Log struct {
+	Part   string
+	Text   string
+	Fields []any // alternating keys and values
+}
+
+// Count adds to a metric counter.
+type Count struct {
+	Name  string
+	Delta int64
+}
+
+func (Dial) effect()          {}
+func (Hangup) effect()        {}
+func (SendMessage) effect()   {}
+func (SendDatagram) effect()  {}
+func (Deliver) effect()       {}
+func (CloseFlow) effect()     {}
+func (PublishRoutes) effect() {}
+func (LoadStore) effect()     {}
+func (WatchStore) effect()    {}
+func (Log) effect()           {}
+func (Count) effect()         {}
--- /dev/null
+++ b/internal/core/events.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// Event is something that happened to a node.
+type Event interface{ event() }
+
+// Tick reports that time has passed; processes send one every TickInterval.
+type Tick struct{}
+
+// TickInterval is how often a process feeds Tick.
+const TickInterval = 50 * time.Millisecond
+
+// SessionOpened reports an authenticated control session with a peer.
+type SessionOpened struct {
+	Member model.Member
+	// Service is the subscription that an agent asked for.
+	Service model.ServiceName
+}
+
+// SessionClosed reports the end of a control session.
+type SessionClosed struct{ Peer model.NodeID }
+
+// DialFailed reports that no session could be opened to the address.
+type DialFailed struct{ Addr netip.AddrPort }
+
+// MessageReceived carries a control message of a peer.
+type MessageReceived struct {
+	From    model.NodeID
+	Message Message
+}
+
+// DatagramReceived carries an authenticated datagram. Payload is valid only
+// during the step; controllers copy what they keep.
+type DatagramReceived struct {
+	From    netip.AddrPort
+	Header  wire.Header
+	Payload []byte
+}
+
+// StoreLoaded carries configuration objects read from the store.
+type StoreLoaded struct {
+	// Version is the configuration version at which the read was consistent.
+	Version uint64
+	Objects []model.Object
+}
+
+// StoreFailed reports a failed or timed out store call.
+type StoreFailed struct{ Err error }
+
+// Announcement is what a target says of itself to its agent.
+type Announcement struct {
+	Target      model.TargetName
+	Service     model.ServiceName
+	Address     netip.AddrPort
+	Slots       int
+	Connections int
+	// Instance changes when the target's process restarts.
+	Instance string
+	// Draining asks for no new work.
+	Draining bool
+}
+
+// TargetAnnounced reports an announcement; targets repeat it every few
+// seconds.
+type TargetAnnounced struct{ Announcement Announcement }
+
+// TargetLeft reports that the target withdrew its announcement or stopped
+// repeating it.
+type TargetLeft struct{}
+
+// FlowEstablished reports that a held flow's caller completed its handshake.
+type FlowEstablished struct{ Flow model.FlowKey }
+
+// FlowClosed reports that a held flow has ended.
+type FlowClosed struct{ Flow model.FlowKey }
+
+// StopRequested starts a planned stop.
+type StopRequested struct{}
+
+func (Tick) event()             {}
+func (SessionOpened) event()    {}
+func (SessionClosed) event()    {}
+func (DialFailed) event()       {}
+func (MessageReceived) event()  {}
+func (DatagramReceived) event() {}
+func (StoreLoaded) event()      {}
+func (StoreFailed) event()      {}
+func (TargetAnnounced) event()  {}
+func (TargetLeft) event()       {}
+func (FlowEstablished) event()  {}
+func (FlowClosed) event()       {}
+func (StopRequested) event()    {}
