Admit requests at the agent and carry them over HTTP/3 to the target

Cause: an agent has to see each request to keep the target's slots as a hard limit, to pass on deadlines and cancellation and to know what did not run.

internal/core/requests.go and keyed.go add the events, effects and sections of requests; internal/core/admission decides (hard slots, a short queue by deadline, a learnt limit, hand-overs within a budget); internal/agent/front carries the decisions out.

Ruled out: net/http's Transport towards the target. It sends a request again on a dead reused connection, and does not tell whether a byte had left. The front writes each request on a connection of its own, which also shows when the target has stopped: it half-closes and waits for the other side to close. Ruled out: passing on an answer that ends with the connection, because one that broke off would look complete.

--- /dev/null
+++ b/internal/core/admission/controller.go
@@ -0,0 +1,252 @@
+package admission
+
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+)
+
+const (
+	// defaultTimeout bounds a request of a service without a request timeout.
+	defaultTimeout = 30 * time.Second
+	// maxQueueWait bounds the wait for a slot.
+	maxQueueWait = 500 * time.Millisecond
+	// minQueue is the waiting requests allowed at the smallest limit. Above,
+	// as many may wait as may run.
+	minQueue = 4
+	// maxPending bounds the requests that wait for their key's owner.
+	maxPending = 256
+	// minTargetRest is how long an unreachable target is left alone; it
+	// doubles with each failure, up to maxTargetRest.
+	minTargetRest = 100 * time.Millisecond
+	maxTargetRest = 2 * time.Second
+)
+
+// Controller is the admission controller of an agent. It writes the board's
+// LoadSection and RequestSection, and the keyed section given to New.
+type Controller struct {
+	claims *core.ClaimSection
+	keyed  *core.KeyedSection
+
+	target    core.Announcement
+	limiter   limiter
+	budget    budget
+	peers     peerLoad
+	requests  map[core.RequestID]*request
+	waiting   waitQueue
+	inFlight  int
+	restUntil time.Time // the target could not be reached
+	rest      time.Duration
+}
+
+// New returns a controller without a target. It reads the claims and reports
+// the progress of keyed requests in keyed.
+func New(claims *core.ClaimSection, keyed *core.KeyedSection) *Controller {
+	return &Controller{
+		claims:   claims,
+		keyed:    keyed,
+		budget:   newBudget(),
+		peers:    newPeerLoad(),
+		requests: make(map[core.RequestID]*request),
+	}
+}
+
+// Handle implements core.Controller.
+func (c *Controller) Handle(t *core.Turn, ev core.Event) {
+	c.keyed.Changes = c.keyed.Changes[:0]
+	switch ev := ev.(type) {
+	case core.TargetAnnounced:
+		c.announced(ev.Announcement)
+	case core.RequestArrived:
+		c.arrive(t, ev)
+	case core.RequestCancelled:
+		c.cancelled(ev.ID)
+	case core.RequestFinished:
+		c.finished(t, ev)
+	case core.TargetClosed:
+		c.closed(ev.ID)
+	case core.HandOverFinished:
+		c.handedOver(t, ev)
+	case core.Tick:
+		c.tick(t)
+	}
+	c.applyServiceLimit(t)
+	c.decideWaiting(t)
+	c.publish(t)
+}
+
+// announced takes the slots of the target. A new instance starts cold.
+func (c *Controller) announced(a core.Announcement) {
+	restarted := a.Instance != c.target.Instance || a.Target != c.target.Target
+	c.target = a
+	if restarted {
+		c.limiter.reset()
+		c.rest, c.restUntil = 0, time.Time{}
+	}
+}
+
+// applyServiceLimit sets the hard limit: the target's slots, at most those
+// that the service allows.
+func (c *Controller) applyServiceLimit(t *core.Turn) {
+	slots := c.target.Slots
+	s := t.Board.Config.Current.Service(t.Board.Self.Member.Service)
+	if s != nil && s.MaxSlots > 0 {
+		slots = min(slots, s.MaxSlots)
+	}
+	c.limiter.setSlots(slots)
+}
+
+// arrive takes a new request into the queue.
+func (c *Controller) arrive(t *core.Turn, ev core.RequestArrived) {
+	if _, known := c.requests[ev.ID]; known {
+		return
+	}
+	r := &request{arrived: ev, phase: phaseWaiting, since: t.Now, deadline: c.deadline(t, ev)}
+	r.visited = append(r.visited, ev.Visited...)
+	r.visited = append(r.visited, t.Board.Self.Member.Node)
+	c.requests[ev.ID] = r
+	c.waiting.add(r)
+}
+
+// deadline returns the caller's deadline, or the service's timeout.
+func (c *Controller) deadline(t *core.Turn, ev core.RequestArrived) time.Time {
+	if !ev.Deadline.IsZero() {
+		return ev.Deadline
+	}
+	s := t.Board.Config.Current.Service(t.Board.Self.Member.Service)
+	if s != nil && s.RequestTimeout > 0 {
+		return t.Now.Add(s.RequestTimeout)
+	}
+	return t.Now.Add(defaultTimeout)
+}
+
+// cancelled drops a request that is in no attempt. A grant that was not
+// carried out frees its slot at once.
+func (c *Controller) cancelled(id core.RequestID) {
+	r := c.requests[id]
+	if r == nil || r.phase == phaseEnded {
+		return
+	}
+	c.freeSlot(r)
+	c.report(r, core.KeyedChange{State: core.KeyedNotRun})
+	c.forget(r)
+}
+
+// finished handles the end of an attempt at the target.
+func (c *Controller) finished(t *core.Turn, ev core.RequestFinished) {
+	r := c.requests[ev.ID]
+	if r == nil || r.phase != phaseRunning {
+		return
+	}
+	c.observe(t, r, ev)
+	c.afterAttempt(t, r, attemptEnd{
+		outcome: ev.Outcome, status: ev.Status, answer: ev.Answer, reason: core.RefuseTarget,
+	})
+}
+
+// observe learns what the target bears.
+func (c *Controller) observe(t *core.Turn, r *request, ev core.RequestFinished) {
+	switch ev.Outcome {
+	case core.OutcomeAnswered:
+		c.rest = 0
+		c.observeAnswer(t, r, ev)
+	case core.OutcomeNotSent:
+		c.limiter.fall(t.Now)
+		c.rest = min(max(2*c.rest, minTargetRest), maxTargetRest)
+		c.restUntil = t.Now.Add(c.rest)
+	case core.OutcomeShed, core.OutcomeUnknown:
+		c.limiter.fall(t.Now)
+	}
+}
+
+// Statuses with which a target says that it is overloaded.
+const (
+	statusTooManyRequests = 429
+	statusUnavailable     = 503
+	statusServerError     = 500
+)
+
+func (c *Controller) observeAnswer(t *core.Turn, r *request, ev core.RequestFinished) {
+	switch {
+	case ev.Status == statusTooManyRequests || ev.Status == statusUnavailable:
+		c.limiter.fall(t.Now)
+	case ev.Status < statusServerError:
+		c.budget.earn()
+		c.limiter.answered(t.Now, ev.Latency, r.full)
+	}
+}
+
+// closed frees the slot of a request that the target no longer runs.
+func (c *Controller) closed(id core.RequestID) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	c.freeSlot(r)
+	if r.phase == phaseEnded {
+		c.forget(r)
+	}
+}
+
+func (c *Controller) freeSlot(r *request) {
+	if r.slot {
+		r.slot = false
+		c.inFlight--
+	}
+}
+
+// handedOver handles the end of an attempt at another agent.
+func (c *Controller) handedOver(t *core.Turn, ev core.HandOverFinished) {
+	r := c.requests[ev.ID]
+	if r == nil || r.phase != phaseHandedOver {
+		return
+	}
+	if ev.Outcome.NotRun() {
+		c.peers.refusedAt(ev.Peer, t.Now)
+	}
+	if ev.Outcome == core.OutcomeAnswered && ev.Status < statusServerError {
+		c.budget.earn()
+	}
+	c.afterAttempt(t, r, attemptEnd{
+		outcome: ev.Outcome, status: ev.Status, answer: ev.Answer, reason: core.RefuseOverload,
+	})
+}
+
+// tick learns from slow requests and lets old knowledge lapse.
+func (c *Controller) tick(t *core.Turn) {
+	slow := 0
+	for _, r := range c.requests {
+		if r.phase == phaseRunning && c.limiter.isSlow(t.Now.Sub(r.sent)) {
+			slow++
+		}
+	}
+	c.limiter.waiting(t.Now, slow)
+	if c.inFlight == 0 {
+		c.limiter.expire(t.Now)
+	}
+	c.peers.forget(t.Now)
+}
+
+// publish writes the load to the board.
+func (c *Controller) publish(t *core.Turn) {
+	t.Board.Load = core.LoadSection{
+		Limit:    c.limiter.limit,
+		InFlight: c.inFlight,
+		Queued:   len(c.waiting),
+		Cold:     c.limiter.cold(),
+	}
+}
+
+func (c *Controller) forget(r *request) {
+	c.waiting.remove(r)
+	delete(c.requests, r.arrived.ID)
+}
+
+// report notes the progress of a keyed request.
+func (c *Controller) report(r *request, change core.KeyedChange) {
+	if !r.keyed() {
+		return
+	}
+	change.ID = r.arrived.ID
+	c.keyed.Changes = append(c.keyed.Changes, change)
+}
--- /dev/null
+++ b/internal/core/keyed.go
@@ -0,0 +1,63 @@
+package core
+
+// ClaimState is the state of a key's claim for one request.
+type ClaimState uint8
+
+// The states of a claim.
+const (
+	// ClaimPending waits for the key's owner.
+	ClaimPending ClaimState = iota + 1
+	// ClaimGranted gives the request the sole right to run under its key.
+	ClaimGranted
+	// ClaimRefused denies it; Reason tells why.
+	ClaimRefused
+	// ClaimReplay answers the request with the key's stored answer.
+	ClaimReplay
+)
+
+// Claim is what is known of an Idempotency-Key for one request.
+type Claim struct {
+	State  ClaimState
+	Reason RefuseReason
+	Answer *StoredAnswer
+}
+
+// ClaimSection is the claims of the requests that carry a key. Writer: claims
+// controller (package claims).
+type ClaimSection struct {
+	Claims map[RequestID]Claim
+}
+
+// NewClaimSection returns an empty section.
+func NewClaimSection() *ClaimSection {
+	return &ClaimSection{Claims: make(map[RequestID]Claim)}
+}
+
+// KeyedState is how far a request with a granted key has come.
+type KeyedState uint8
+
+// The states of a keyed request.
+const (
+	// KeyedStarted is a request that may reach a target from now on.
+	KeyedStarted KeyedState = iota + 1
+	// KeyedNotRun is a request that ended without having run.
+	KeyedNotRun
+	// KeyedAnswered is a request that was answered.
+	KeyedAnswered
+	// KeyedUnknown is a request that may have run.
+	KeyedUnknown
+)
+
+// KeyedChange is a step in the life of a request with a key.
+type KeyedChange struct {
+	ID     RequestID
+	State  KeyedState
+	Status int
+	Answer *StoredAnswer
+}
+
+// KeyedSection is the changes of keyed requests in the current step. Writer:
+// admission controller (package admission).
+type KeyedSection struct {
+	Changes []KeyedChange
+}
--- /dev/null
+++ b/internal/core/requests.go
@@ -0,0 +1,234 @@
+package core
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// RequestID identifies a request within one process instance of an agent.
+type RequestID uint64
+
+// BodyDigest is the SHA-256 digest of a request's method, path and body. It
+// tells a repeated request from another one under the same key.
+type BodyDigest [32]byte
+
+// RequestArrived reports a request that a caller sent on a held flow, or that
+// another agent handed over.
+type RequestArrived struct {
+	ID     RequestID
+	Flow   model.FlowKey
+	Method string
+	// Idempotent reports that the method is defined as idempotent.
+	Idempotent bool
+	// Key is the caller's Idempotency-Key, empty if there is none.
+	Key        string
+	BodyDigest BodyDigest
+	// Replayable reports that the whole request is buffered, so that it can be
+	// sent to another agent after a target has refused it.
+	Replayable bool
+	// Deadline is when the caller stops waiting. Zero leaves the service's
+	// request timeout to decide.
+	Deadline time.Time
+	// HandedOver reports that another agent sent the request. Its key, if any,
+	// is already claimed by that agent.
+	HandedOver bool
+	// Visited lists the agents that had the request before, the first being
+	// the one that holds the flow.
+	Visited []model.NodeID
+}
+
+// RequestCancelled reports that the caller gave up while its request was in no
+// attempt. Verdicts that follow, or that have not been carried out, have no
+// effect. The end of a running attempt is reported by RequestFinished or
+// HandOverFinished instead.
+type RequestCancelled struct{ ID RequestID }
+
+// RequestOutcome tells how an attempt to run a request ended.
+type RequestOutcome uint8
+
+// The outcomes of an attempt.
+const (
+	// OutcomeAnswered is an answer that was read to its end.
+	OutcomeAnswered RequestOutcome = iota + 1
+	// OutcomeShed is a target's or peer's own statement that it did not run
+	// the request.
+	OutcomeShed
+	// OutcomeNotSent is an attempt of which no byte left the agent.
+	OutcomeNotSent
+	// OutcomeUnknown is an attempt that failed after a byte may have arrived.
+	OutcomeUnknown
+	// OutcomeAborted is an attempt that the caller's cancellation ended.
+	OutcomeAborted
+)
+
+// String returns the outcome's name in logs and metrics.
+func (o RequestOutcome) String() string {
+	switch o {
+	case OutcomeAnswered:
+		return "answered"
+	case OutcomeShed:
+		return "shed"
+	case OutcomeNotSent:
+		return "not-sent"
+	case OutcomeUnknown:
+		return "unknown"
+	case OutcomeAborted:
+		return "aborted"
+	}
+	return "invalid"
+}
+
+// NotRun reports whether the outcome proves that the request did not run.
+func (o RequestOutcome) NotRun() bool {
+	return o == OutcomeShed || o == OutcomeNotSent
+}
+
+// RequestFinished reports the end of an attempt at this agent's target.
+type RequestFinished struct {
+	ID      RequestID
+	Outcome RequestOutcome
+	// Status is the HTTP status of an answered or shed attempt.
+	Status int
+	// Latency is the time from sending the request to the answer's header.
+	Latency time.Duration
+	// Answer is the answer to a request with a key, nil if it was too large.
+	Answer *StoredAnswer
+}
+
+// TargetClosed reports that the connection that carried a request to the
+// target is closed, so that the target no longer runs it. It follows every
+// RequestFinished, and frees the slot.
+type TargetClosed struct{ ID RequestID }
+
+// HandOverFinished reports the end of an attempt at another agent.
+type HandOverFinished struct {
+	ID      RequestID
+	Peer    model.NodeID
+	Outcome RequestOutcome
+	Status  int
+	Answer  *StoredAnswer
+}
+
+// StoredAnswer is an answer kept for repetitions of its Idempotency-Key. It is
+// immutable.
+type StoredAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// RequestEffect is an effect that concerns one request.
+type RequestEffect interface {
+	Effect
+	Request() RequestID
+}
+
+// GrantRequest sends the request to the target.
+type GrantRequest struct {
+	ID       RequestID
+	Deadline time.Time
+}
+
+// RefuseReason tells why a request is not answered by a target.
+type RefuseReason uint8
+
+// The reasons for refusals.
+const (
+	// RefuseNoTarget means that no target has announced itself.
+	RefuseNoTarget RefuseReason = iota + 1
+	// RefuseDraining means that the target or agent takes no new work.
+	RefuseDraining
+	// RefuseDomainOut means that the failure domain is out.
+	RefuseDomainOut
+	// RefuseLeaseLapsed means that the agent's lease lapsed.
+	RefuseLeaseLapsed
+	// RefuseOverload means that the target bears no more requests.
+	RefuseOverload
+	// RefuseExpired means that the deadline passed.
+	RefuseExpired
+	// RefuseTarget means that the target refused or could not be reached.
+	RefuseTarget
+	// RefuseBroken means that an attempt ended without a whole answer.
+	RefuseBroken
+	// RefuseKeyBusy means that a request with the same key is in progress.
+	RefuseKeyBusy
+	// RefuseKeyDone means that a request with the same key was answered, and
+	// the answer was too large to keep.
+	RefuseKeyDone
+	// RefuseKeyUnknown means that the outcome of an earlier request with the
+	// same key is unknown.
+	RefuseKeyUnknown
+	// RefuseKeyReused means that the key belongs to a different request.
+	RefuseKeyReused
+	// RefuseKeyUnsettled means that the key's owner could not be asked in time.
+	RefuseKeyUnsettled
+)
+
+var refuseReasonNames = map[RefuseReason]string{
+	RefuseNoTarget: "no-target", RefuseDraining: "draining", RefuseDomainOut: "domain-out",
+	RefuseLeaseLapsed: "lease-lapsed", RefuseOverload: "overload", RefuseExpired: "deadline-exceeded",
+	RefuseTarget: "target-refused", RefuseBroken: "broken", RefuseKeyBusy: "key-in-progress",
+	RefuseKeyDone: "key-done", RefuseKeyUnknown: "key-outcome-unknown",
+	RefuseKeyReused: "key-reused", RefuseKeyUnsettled: "key-unsettled",
+}
+
+// String returns the reason's name in logs, metrics and answers.
+func (r RefuseReason) String() string {
+	if name, ok := refuseReasonNames[r]; ok {
+		return name
+	}
+	return "invalid"
+}
+
+// RefuseRequest answers the caller with a refusal.
+type RefuseRequest struct {
+	ID     RequestID
+	Reason RefuseReason
+	// NotRun states that no target ran the request. Otherwise the outcome is
+	// unknown.
+	NotRun bool
+}
+
+// HandOver sends a request that did not run to another agent. The outcome
+// comes back as HandOverFinished.
+type HandOver struct {
+	ID       RequestID
+	To       model.NodeID
+	Addr     netip.AddrPort
+	Deadline time.Time
+	// Visited lists the agents that must not get the request again, this one
+	// included.
+	Visited []model.NodeID
+}
+
+// ReplayAnswer answers the caller with the stored answer of its key.
+type ReplayAnswer struct {
+	ID     RequestID
+	Answer *StoredAnswer
+}
+
+// Request returns the request that the effect concerns.
+func (e GrantRequest) Request() RequestID { return e.ID }
+
+// Request returns the request that the effect concerns.
+func (e RefuseRequest) Request() RequestID { return e.ID }
+
+// Request returns the request that the effect concerns.
+func (e HandOver) Request() RequestID { return e.ID }
+
+// Request returns the request that the effect concerns.
+func (e ReplayAnswer) Request() RequestID { return e.ID }
+
+func (GrantRequest) effect()  {}
+func (RefuseRequest) effect() {}
+func (HandOver) effect()      {}
+func (ReplayAnswer) effect()  {}
+
+func (RequestArrived) event()   {}
+func (RequestCancelled) event() {}
+func (RequestFinished) event()  {}
+func (TargetClosed) event()     {}
+func (HandOverFinished) event() {}
