Place flows by home and holder

Cause: balancers hold no flow state, so agents have to agree on who holds a flow while balancers and agents see different candidates.

Ruled out: a flow table in each balancer (breaks when the fabric moves a flow), stateless hashing (breaks at every change of candidates). Moving on from an unanswered offer without an epoch was ruled out on paper: a late acceptance would leave two holders.

Before: nothing. After: builds; not yet tested or measured.

--- /dev/null
+++ b/internal/core/directory/messages.go
@@ -0,0 +1,310 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/routing"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/placementpb"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// send emits a placement message with this agent's name and load.
+func (c *Controller) send(t *core.Turn, to netip.AddrPort, flow model.FlowKey, m *placementpb.Placement) {
+	self := &t.Board.Self.Member
+	load := c.load(t)
+	m.From = string(self.Node)
+	m.Incarnation = self.Incarnation
+	m.Load = &placementpb.Load{Flows: uint32(load.flows), Capacity: uint32(load.capacity)}
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		t.Emit(core.Count{Name: "placement_encode_failed", Delta: 1})
+		return
+	}
+	t.Emit(core.SendDatagram{
+		To:      to,
+		Header:  wire.Header{Kind: wire.KindPlacement, Service: flow.Service, Caller: flow.Caller},
+		Payload: payload,
+	})
+}
+
+// message handles a placement message of another agent.
+func (c *Controller) message(t *core.Turn, ev core.DatagramReceived) {
+	var m placementpb.Placement
+	if err := proto.Unmarshal(ev.Payload, &m); err != nil {
+		t.Emit(core.Count{Name: "placement_malformed", Delta: 1})
+		return
+	}
+	from, ok := c.sender(t, &m)
+	if !ok {
+		t.Emit(core.Count{Name: "placement_unknown_sender", Delta: 1})
+		return
+	}
+	c.noteLoad(t, from.Node, m.Load)
+	service := ev.Header.Service
+	switch body := m.Body.(type) {
+	case *placementpb.Placement_Offer:
+		c.offer(t, from, service, body.Offer)
+	case *placementpb.Placement_OfferReply:
+		c.offerReply(t, from, service, body.OfferReply)
+	case *placementpb.Placement_Register:
+		c.registration(t, from, service, body.Register)
+	case *placementpb.Placement_RegisterReply:
+		c.registerReply(t, from, service, body.RegisterReply)
+	case *placementpb.Placement_Probe:
+		c.probe(t, from, service, body.Probe)
+	case *placementpb.Placement_ProbeReply:
+		c.probeReply(t, from, service, body.ProbeReply)
+	case *placementpb.Placement_Release:
+		c.release(from, service, body.Release)
+	}
+}
+
+// sender returns the member that sent a message. A message of a replaced
+// process instance, or of one not yet known, is ignored; senders retry.
+func (c *Controller) sender(t *core.Turn, m *placementpb.Placement) (model.Member, bool) {
+	from, ok := t.Board.Members.Records[model.NodeID(m.From)]
+	if !ok || from.Gone() || from.Incarnation != m.Incarnation {
+		return model.Member{}, false
+	}
+	return from, !t.Board.Config.Current.DomainOut(from.Domain)
+}
+
+func (c *Controller) noteLoad(t *core.Turn, from model.NodeID, l *placementpb.Load) {
+	held := c.loads[from]
+	held.flows = int(l.GetFlows())
+	held.capacity = int(l.GetCapacity())
+	held.at = t.Now
+	c.loads[from] = held
+}
+
+// offer admits or declines a flow that a home offers.
+func (c *Controller) offer(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.Offer) {
+	flow, ok := flowKey(service, m.Flow)
+	if !ok {
+		return
+	}
+	_, accepted := c.held[flow]
+	e := c.entries[flow]
+	elsewhere := e != nil && e.phase == phaseHeld && e.holder != from.Node
+	if !accepted && !elsewhere && c.load(t).capacity > 0 {
+		accepted = true
+		c.remove(flow)
+		c.hold(t, flow, [][]byte{m.Datagram})
+	}
+	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_OfferReply{
+		OfferReply: &placementpb.OfferReply{Flow: m.Flow, Epoch: m.Epoch, Accepted: accepted},
+	}})
+}
+
+// offerReply ends an offer, or moves on to the next candidate.
+func (c *Controller) offerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.OfferReply) {
+	flow, ok := flowKey(service, m.Flow)
+	if !ok {
+		return
+	}
+	e := c.entries[flow]
+	current := e != nil && e.phase == phaseOffering && e.epoch == m.Epoch && e.offered.node == from.Node
+	switch {
+	case current && m.Accepted:
+		e.expires = t.Now.Add(3 * c.options.RegisterEvery)
+		e.since = t.Now
+		// The holder got the opener with the offer.
+		e.pending = withoutOpener(e)
+		c.found(t, flow, e, from.Node, wire.KindForward, phaseHeld)
+	case current:
+		c.offerNext(t, flow, e)
+	case m.Accepted && !c.heldBy(flow, from.Node):
+		// A late acceptance: the flow went to another candidate meanwhile.
+		c.reject(t, from, flow)
+	}
+}
+
+func withoutOpener(e *entry) [][]byte {
+	return slices.DeleteFunc(e.pending, func(p []byte) bool {
+		return len(p) > 0 && len(e.opener) > 0 && &p[0] == &e.opener[0]
+	})
+}
+
+func (c *Controller) heldBy(flow model.FlowKey, node model.NodeID) bool {
+	e := c.entries[flow]
+	return e != nil && e.phase == phaseHeld && e.holder == node
+}
+
+func (c *Controller) reject(t *core.Turn, to model.Member, flow model.FlowKey) {
+	c.send(t, to.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_RegisterReply{
+		RegisterReply: &placementpb.RegisterReply{Rejected: []*placementpb.Flow{flowMessage(flow)}},
+	}})
+}
+
+// registration records the flows that another agent holds.
+func (c *Controller) registration(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.Register) {
+	reply := &placementpb.RegisterReply{Batch: m.Batch}
+	for _, pb := range m.Flows {
+		flow, ok := flowKey(service, pb)
+		if ok && !c.record(t, from, flow, pb) {
+			reply.Rejected = append(reply.Rejected, pb)
+		}
+	}
+	c.send(t, from.Data, model.FlowKey{Service: service}, &placementpb.Placement{
+		Body: &placementpb.Placement_RegisterReply{RegisterReply: reply},
+	})
+}
+
+// record takes one registration. It returns false if the flow is another
+// agent's: the first holder known here keeps the flow, unless only the other
+// has completed its handshake.
+func (c *Controller) record(t *core.Turn, from model.Member, flow model.FlowKey, pb *placementpb.Flow) bool {
+	if f, ok := c.held[flow]; ok {
+		if f.established || !pb.Established {
+			return false
+		}
+		c.drop(t, flow, "held by another agent")
+	}
+	e := c.entries[flow]
+	if e != nil && e.phase == phaseHeld && e.holder != from.Node {
+		if e.established || !pb.Established {
+			return false
+		}
+		if other, ok := t.Board.Members.Records[e.holder]; ok {
+			c.reject(t, other, flow)
+		}
+	}
+	if e == nil {
+		if len(c.entries) >= c.options.MaxEntries {
+			return true
+		}
+		e = &entry{}
+		c.entries[flow] = e
+	}
+	e.since = time.Unix(0, pb.Since)
+	e.established = pb.Established
+	e.expires = t.Now.Add(3 * c.options.RegisterEvery)
+	c.found(t, flow, e, from.Node, wire.KindForward, phaseHeld)
+	return true
+}
+
+// registerReply confirms a batch and drops the flows that are another's.
+func (c *Controller) registerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.RegisterReply) {
+	for _, pb := range m.Rejected {
+		if flow, ok := flowKey(service, pb); ok && c.held[flow] != nil {
+			c.drop(t, flow, "held by another agent")
+		}
+	}
+	for _, flow := range c.batches[m.Batch] {
+		if f := c.held[flow]; f != nil && f.home == from.Node {
+			f.confirmed = true
+		}
+	}
+	delete(c.batches, m.Batch)
+}
+
+// probe answers with the holder of a flow. An agent that knows none sends the
+// flow's datagrams to the prober from now on, so that it cannot place the flow
+// itself under an older view.
+func (c *Controller) probe(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.Probe) {
+	flow, ok := flowKey(service, m.Flow)
+	if !ok {
+		return
+	}
+	reply := c.answerProbe(t, from, flow)
+	reply.Flow = m.Flow
+	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{ProbeReply: reply}})
+}
+
+func (c *Controller) answerProbe(t *core.Turn, from model.Member, flow model.FlowKey) *placementpb.ProbeReply {
+	self := t.Board.Self.Member.Node
+	if c.held[flow] != nil {
+		return &placementpb.ProbeReply{Holder: string(self)}
+	}
+	e := c.entries[flow]
+	switch {
+	case e == nil:
+		e = &entry{}
+		c.entries[flow] = e
+	case e.phase == phaseHeld && e.holder != from.Node:
+		return &placementpb.ProbeReply{Holder: string(e.holder)}
+	case e.phase == phaseOffering, e.phase == phaseProbing && outranks(self, from.Node, flow):
+		return &placementpb.ProbeReply{Holder: string(self), Placing: true}
+	}
+	e.expires = t.Now.Add(yieldedTimeout)
+	c.found(t, flow, e, from.Node, wire.KindPacket, phaseYielded)
+	return &placementpb.ProbeReply{}
+}
+
+// outranks reports whether node a is a better home for the flow than b.
+func outranks(a, b model.NodeID, flow model.FlowKey) bool {
+	hash := flow.Hash()
+	return routing.Score(routing.Seed(a), hash) > routing.Score(routing.Seed(b), hash)
+}
+
+// probeReply ends a search, or counts one candidate that knows no holder.
+func (c *Controller) probeReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.ProbeReply) {
+	flow, ok := flowKey(service, m.Flow)
+	if !ok {
+		return
+	}
+	e := c.entries[flow]
+	if e == nil || e.phase != phaseProbing {
+		return
+	}
+	holder := model.NodeID(m.Holder)
+	switch {
+	case holder == "" || holder == t.Board.Self.Member.Node:
+		delete(e.awaiting, from.Node)
+		if len(e.awaiting) == 0 {
+			c.probed(t, flow, e)
+		}
+	case m.Placing:
+		e.expires = t.Now.Add(yieldedTimeout)
+		c.found(t, flow, e, holder, wire.KindPacket, phaseYielded)
+	default:
+		e.expires = t.Now.Add(3 * c.options.RegisterEvery)
+		c.found(t, flow, e, holder, wire.KindForward, phaseHeld)
+	}
+}
+
+// release forgets an entry whose holder no longer has the flow.
+func (c *Controller) release(from model.Member, service model.ServiceID, m *placementpb.Release) {
+	if flow, ok := flowKey(service, m.Flow); ok && c.heldBy(flow, from.Node) {
+		c.remove(flow)
+	}
+}
+
+func flowMessage(flow model.FlowKey) *placementpb.Flow {
+	caller, err := flow.Caller.MarshalBinary()
+	if err != nil {
+		return &placementpb.Flow{}
+	}
+	return &placementpb.Flow{Caller: caller}
+}
+
+func flowKey(service model.ServiceID, m *placementpb.Flow) (model.FlowKey, bool) {
+	var caller netip.AddrPort
+	if m == nil || caller.UnmarshalBinary(m.Caller) != nil || !caller.IsValid() {
+		return model.FlowKey{}, false
+	}
+	return model.FlowKey{Caller: caller, Service: service}, true
+}
+
+// sortedFlows returns the keys of a map in an order that does not vary between
+// runs.
+func sortedFlows[V any](m map[model.FlowKey]V) []model.FlowKey {
+	return slices.SortedFunc(maps.Keys(m), compareFlows)
+}
+
+func compareFlows(a, b model.FlowKey) int {
+	return cmp.Or(a.Caller.Compare(b.Caller), cmp.Compare(a.Service, b.Service))
+}
+
+// sortedNodes returns the keys of a map in order.
+func sortedNodes[V any](m map[model.NodeID]V) []model.NodeID {
+	return slices.Sorted(maps.Keys(m))
+}
