--- /dev/null
+++ b/internal/core/fleet/queue.go
@@ -0,0 +1,36 @@
+package fleet
+
+import "time"
+
+// scheduled is a function to run at a time; the sequence keeps the order of
+// functions due at once.
+type scheduled struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+// eventQueue implements heap.Interface, the earliest first.
+type eventQueue []scheduled
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].sequence < q[j].sequence
+	}
+	return q[i].at.Before(q[j].at)
+}
+
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an element; use heap.Push.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(scheduled)) }
+
+// Pop removes the last element; use heap.Pop.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	x := (*q)[last]
+	*q = (*q)[:last]
+	return x
+}
