--- /dev/null
+++ b/internal/balancer/forwarder.go
@@ -0,0 +1,194 @@
+// Package balancer implements the daemon on an entry host: it forwards callers'
+// datagrams to the agents that are the homes of their flows, watches agents and
+// reads the configuration.
+package balancer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/routing"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// socketBuffer is the size of the kernel's buffers of a socket, in bytes.
+const socketBuffer = 4 << 20
+
+// maxSilence is how long the forwarder trusts its views without hearing from
+// the node's loop. A process that was paused stops forwarding until its loop
+// runs again.
+const maxSilence = 2 * time.Second
+
+// Forwarder is the packet path: it sends each caller's datagram to the home of
+// its flow. It keeps no state of flows, and takes no lock and allocates nothing
+// for a datagram.
+type Forwarder struct {
+	keys  wire.Keys
+	data  *net.UDPConn
+	bind  netip.Addr
+	views atomic.Pointer[map[model.ServiceID]*core.View]
+	alive atomic.Int64 // last sign of the loop, nanoseconds since start
+	start time.Time
+
+	mu        sync.Mutex
+	listeners map[model.ServiceID]*listener
+	group     sync.WaitGroup
+
+	// Counters are read by the metrics.
+	Counters Counters
+}
+
+// Counters counts datagrams since the start.
+type Counters struct {
+	Forwarded, NoService, NoCandidate, Stale, TooLong, SendFailed atomic.Uint64
+}
+
+// listener receives the datagrams of one service.
+type listener struct {
+	conn    *net.UDPConn
+	address netip.AddrPort
+}
+
+// NewForwarder returns a forwarder that sends from the data socket. Services
+// are bound on bind if it is valid, and on their own addresses otherwise.
+func NewForwarder(keys wire.Keys, data *net.UDPConn, bind netip.Addr) *Forwarder {
+	f := &Forwarder{keys: keys, data: data, bind: bind, start: time.Now(), listeners: make(map[model.ServiceID]*listener)}
+	f.views.Store(&map[model.ServiceID]*core.View{})
+	return f
+}
+
+// Alive notes that the node's loop runs.
+func (f *Forwarder) Alive() {
+	f.alive.Store(int64(time.Since(f.start)))
+}
+
+// SetViews replaces the candidates.
+func (f *Forwarder) SetViews(views map[model.ServiceID]*core.View) {
+	f.views.Store(&views)
+}
+
+// SetServices opens a socket for each service and closes those of services
+// that are gone or moved. It returns the addresses that could not be bound.
+func (f *Forwarder) SetServices(services []*model.Service) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wanted := make(map[model.ServiceID]netip.AddrPort, len(services))
+	for _, s := range services {
+		wanted[s.Name.ID()] = f.addressOf(s)
+	}
+	for id, l := range f.listeners {
+		if wanted[id] != l.address {
+			_ = l.conn.Close()
+			delete(f.listeners, id)
+		}
+	}
+	var errs []error
+	for id, address := range wanted {
+		if _, ok := f.listeners[id]; ok {
+			continue
+		}
+		if err := f.listen(id, address); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (f *Forwarder) addressOf(s *model.Service) netip.AddrPort {
+	if f.bind.IsValid() {
+		return netip.AddrPortFrom(f.bind, s.Address.Port())
+	}
+	return s.Address
+}
+
+// listen opens the socket of one service; f.mu is held.
+func (f *Forwarder) listen(id model.ServiceID, address netip.AddrPort) error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return fmt.Errorf("listen for callers on %s: %w", address, err)
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		_ = conn.Close()
+		return fmt.Errorf("size the buffer of %s: %w", address, err)
+	}
+	f.listeners[id] = &listener{conn: conn, address: address}
+	f.group.Go(func() { f.serve(conn, id) })
+	return nil
+}
+
+// serve forwards what a socket receives until it is closed.
+func (f *Forwarder) serve(conn *net.UDPConn, id model.ServiceID) {
+	// One byte more than fits tells a datagram that was cut from one that fits.
+	buf := make([]byte, wire.MaxDatagram+1)
+	for {
+		n, caller, err := conn.ReadFromUDPAddrPort(buf[wire.HeaderSize:])
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		f.forward(buf, n, model.FlowKey{Caller: unmap(caller), Service: id})
+	}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// forward sends the payload of n bytes in buf to the flow's home.
+func (f *Forwarder) forward(buf []byte, n int, flow model.FlowKey) {
+	if wire.HeaderSize+n > wire.MaxDatagram {
+		f.Counters.TooLong.Add(1)
+		return
+	}
+	if time.Since(f.start)-time.Duration(f.alive.Load()) > maxSilence {
+		f.Counters.Stale.Add(1)
+		return
+	}
+	home, header, ok := f.route(flow)
+	if !ok {
+		return
+	}
+	f.keys.Encode(buf, &header, n)
+	if _, err := f.data.WriteToUDPAddrPort(buf[:wire.HeaderSize+n], home); err != nil {
+		f.Counters.SendFailed.Add(1)
+		return
+	}
+	f.Counters.Forwarded.Add(1)
+}
+
+// route returns the address of the flow's home and the header to send.
+func (f *Forwarder) route(flow model.FlowKey) (netip.AddrPort, wire.Header, bool) {
+	view := (*f.views.Load())[flow.Service]
+	if view == nil {
+		f.Counters.NoService.Add(1)
+		return netip.AddrPort{}, wire.Header{}, false
+	}
+	home := routing.Home(view, flow.Hash())
+	if home == nil {
+		f.Counters.NoCandidate.Add(1)
+		return netip.AddrPort{}, wire.Header{}, false
+	}
+	return home.Member.Data, wire.Header{
+		Kind: wire.KindPacket, Service: flow.Service, Caller: flow.Caller, View: view.Digest,
+	}, true
+}
+
+// Close closes the services' sockets and waits for their goroutines.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	for _, l := range f.listeners {
+		_ = l.conn.Close()
+	}
+	clear(f.listeners)
+	f.mu.Unlock()
+	f.group.Wait()
+}
--- /dev/null
+++ b/internal/core/directory/inspect.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// HeldFlow describes a flow that the agent holds.
+type HeldFlow struct {
+	Flow        model.FlowKey
+	Since       time.Time
+	Established bool
+	// Home is the agent that was told of the flow last.
+	Home model.NodeID
+}
+
+// Entry describes what the agent knows of a flow as its home.
+type Entry struct {
+	// Holder is empty while the flow is being placed.
+	Holder      model.NodeID
+	Incarnation uint64
+	Since       time.Time
+	Established bool
+}
+
+// HeldFlows lists at most limit held flows, the oldest first.
+func (c *Controller) HeldFlows(limit int) []HeldFlow {
+	flows := make([]HeldFlow, 0, len(c.held))
+	for flow, f := range c.held {
+		flows = append(flows, describe(flow, f))
+	}
+	slices.SortFunc(flows, func(a, b HeldFlow) int {
+		return cmp.Or(a.Since.Compare(b.Since), compareFlows(a.Flow, b.Flow))
+	})
+	return flows[:min(len(flows), limit)]
+}
+
+// Held describes one held flow.
+func (c *Controller) Held(flow model.FlowKey) (HeldFlow, bool) {
+	f, ok := c.held[flow]
+	if !ok {
+		return HeldFlow{}, false
+	}
+	return describe(flow, f), true
+}
+
+func describe(flow model.FlowKey, f *heldFlow) HeldFlow {
+	return HeldFlow{Flow: flow, Since: f.since, Established: f.established, Home: f.home}
+}
+
+// Lookup describes the entry of a flow whose home the agent is.
+func (c *Controller) Lookup(flow model.FlowKey) (Entry, bool) {
+	e, ok := c.entries[flow]
+	if !ok {
+		return Entry{}, false
+	}
+	if e.phase != phaseHeld && e.phase != phaseYielded {
+		return Entry{}, true
+	}
+	return Entry{Holder: e.holder, Incarnation: e.incarnation, Since: e.since, Established: e.established}, true
+}
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -82,6 +82,34 @@
 	return Key{binary.LittleEndian.Uint64(sum[:8]), binary.LittleEndian.Uint64(sum[8:16])}
 }
 
+// Keys are the keys of a cluster whose secret may be under rotation: the first
+// one signs, all verify. There is at least one.
+type Keys []Key
+
+// NewKeys derives the datagram keys from the cluster's secrets.
+func NewKeys(secrets [][]byte) Keys {
+	keys := make(Keys, len(secrets))
+	for i, secret := range secrets {
+		keys[i] = NewKey(secret)
+	}
+	return keys
+}
+
+// Encode signs with the first key; see the function Encode.
+func (k Keys) Encode(buf []byte, h *Header, payload int) {
+	Encode(k[0], buf, h, payload)
+}
+
+// Decode verifies with any of the keys; see the function Decode.
+func (k Keys) Decode(datagram []byte) (Header, []byte, error) {
+	for _, key := range k[:len(k)-1] {
+		if h, payload, err := Decode(key, datagram); !errors.Is(err, ErrMAC) {
+			return h, payload, err
+		}
+	}
+	return Decode(k[len(k)-1], datagram)
+}
+
 // Encode writes the header in front of a payload of the given length. The
 // buffer must hold HeaderSize bytes; the payload follows at that offset.
 func Encode(key Key, buf []byte, h *Header, payload int) {
