Define the admin API that amaranthctl speaks

Cause: amaranthctl status, flows, explain and the wait of apply ask nodes for what they hold; both sides need one set of types.

Ruled out: one map-shaped answer for every path (no typed checks); separate paths for balancers and agents (the client would have to know the role first). Members can be filtered, so that a wait over 610 balancers does not fetch 610 member lists.

--- /dev/null
+++ b/internal/adminapi/status.go
@@ -0,0 +1,148 @@
+package adminapi
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// Role is a node's role in JSON: "balancer" or "agent".
+type Role string
+
+// The roles, spelt as model.Role prints them.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+)
+
+// State is a member's state in JSON, spelt as model.MemberState prints it:
+// "alive", "draining", "suspect", "left" or "dead".
+type State string
+
+// The member states.
+const (
+	StateAlive    State = "alive"
+	StateDraining State = "draining"
+	StateSuspect  State = "suspect"
+	StateLeft     State = "left"
+	StateDead     State = "dead"
+)
+
+// Up reports whether a node in the state may still carry packets.
+func (s State) Up() bool {
+	return s == StateAlive || s == StateDraining || s == StateSuspect
+}
+
+// Status is what a node says of itself and of the members it knows.
+type Status struct {
+	Node model.NodeID `json:"node"`
+	Role Role         `json:"role"`
+	// Incarnation is the start time of the process in nanoseconds since the
+	// Unix epoch, a string in JSON because it exceeds the exact range of many
+	// JSON readers.
+	Incarnation   uint64           `json:"incarnation,string"`
+	Domain        model.DomainName `json:"domain"`
+	ConfigVersion uint64           `json:"config_version"`
+	// Out reports that operators have taken the node's failure domain out.
+	Out bool `json:"out"`
+	// Stopping reports a planned stop under way.
+	Stopping bool      `json:"stopping"`
+	Started  time.Time `json:"started"`
+	// Peers is the number of open control sessions.
+	Peers int `json:"peers"`
+	// Members lists the known members, filtered by ParamMembers, in the order
+	// of their names. Gone members may be among them.
+	Members          []Member `json:"members"`
+	MembersTotal     int      `json:"members_total"`
+	MembersTruncated bool     `json:"members_truncated,omitempty"`
+	// Watched lists the agents whose heartbeats this balancer answers. It is
+	// never filtered.
+	Watched []WatchedAgent `json:"watched,omitempty"`
+	// Load is set on agents.
+	Load *Load `json:"load,omitempty"`
+	// Requests is set on agents.
+	Requests *Requests `json:"requests,omitempty"`
+	// Store is set on balancers.
+	Store *StoreStatus `json:"store,omitempty"`
+}
+
+// Member is the record of one member as the asked node holds it.
+type Member struct {
+	Node        model.NodeID     `json:"node"`
+	Role        Role             `json:"role"`
+	State       State            `json:"state"`
+	Incarnation uint64           `json:"incarnation,string"`
+	Revision    uint64           `json:"revision"`
+	Domain      model.DomainName `json:"domain"`
+	Data        netip.AddrPort   `json:"data"`
+	Control     netip.AddrPort   `json:"control"`
+	Admin       netip.AddrPort   `json:"admin"`
+	// Service, Target, Slots and Connections are those of the announced
+	// target of an agent.
+	Service     model.ServiceName `json:"service,omitempty"`
+	Target      model.TargetName  `json:"target,omitempty"`
+	Slots       int               `json:"slots,omitempty"`
+	Connections int               `json:"connections,omitempty"`
+	// ConfigVersion is the newest version that the asked node knows the member
+	// to hold; zero means that it does not know.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
+}
+
+// WatchedAgent is an agent whose heartbeats a balancer answers.
+type WatchedAgent struct {
+	Node        model.NodeID `json:"node"`
+	Incarnation uint64       `json:"incarnation,string"`
+	State       State        `json:"state"`
+	// ConfigVersion is the version in the agent's last heartbeat.
+	ConfigVersion uint64    `json:"config_version"`
+	LastHeartbeat time.Time `json:"last_heartbeat"`
+}
+
+// Load is what an agent's target bears.
+type Load struct {
+	// Limit is the concurrent requests admitted now; it is below Slots while
+	// the target is cold.
+	Limit    int  `json:"limit"`
+	Slots    int  `json:"slots"`
+	InFlight int  `json:"in_flight"`
+	Queued   int  `json:"queued"`
+	Cold     bool `json:"cold"`
+}
+
+// Requests counts an agent's requests by outcome since its start.
+type Requests struct {
+	Admitted       uint64 `json:"admitted"`
+	Finished       uint64 `json:"finished"`
+	RefusedNotRun  uint64 `json:"refused_not_run"`
+	OutcomeUnknown uint64 `json:"outcome_unknown"`
+	HandedOver     uint64 `json:"handed_over"`
+}
+
+// StoreStatus is a balancer's view of the store.
+type StoreStatus struct {
+	Reachable bool      `json:"reachable"`
+	LastRead  time.Time `json:"last_read,omitzero"`
+	Error     string    `json:"error,omitempty"`
+}
+
+// MemberOf converts a member record. The version is the newest one the node
+// knows the member to hold, zero if it does not know.
+func MemberOf(m *model.Member, configVersion uint64) Member {
+	return Member{
+		Node:          m.Node,
+		Role:          Role(m.Role.String()),
+		State:         State(m.State.String()),
+		Incarnation:   m.Incarnation,
+		Revision:      m.Revision,
+		Domain:        m.Domain,
+		Data:          m.Data,
+		Control:       m.Control,
+		Admin:         m.Admin,
+		Service:       m.Service,
+		Target:        m.Target,
+		Slots:         m.Slots,
+		Connections:   m.Connections,
+		ConfigVersion: configVersion,
+	}
+}
