Add the declared file and the operators' builders

Cause: operators need one file format for services, failure domains and targets, and a library that prints it from Go.

Ruled out: decoding straight into structs with go-toml. Also ruled out: operational state in the file, which would bring a failure domain back on apply.

--- /dev/null
+++ b/operator/declaration/duration.go
@@ -0,0 +1,18 @@
+package declaration
+
+import (
+	"strings"
+	"time"
+)
+
+// formatDuration prints a duration without zero units: "30s", "10m", "1h30m".
+func formatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
--- /dev/null
+++ b/operator/examples/vatukoula/main_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"amaranthwheel.example/amaranthwheel/operator"
+	"amaranthwheel.example/amaranthwheel/operator/declaration"
+)
+
+func TestPrint(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	if code := declare().Run(&stdout, &stderr); code != operator.ExitOK {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	if _, err := declaration.Parse("vatukoula.toml", stdout.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t, goldie.WithNameSuffix(".toml")).Assert(t, "vatukoula", stdout.Bytes())
+}
