Compute the typed changes from a declared file

Cause: amaranthctl diff and apply need the difference between a declared file and the configuration in force, as objects to write and as text.

Ruled out: comparing JSON texts (no field names, and order matters); reading operational state from the file.

Conclusion: go test ./internal/declare ./operator/... passes.

--- /dev/null
+++ b/internal/declare/diff.go
@@ -0,0 +1,76 @@
+package declare
+
+import (
+	"slices"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// declaredKinds are the kinds that a file declares. Objects of other kinds
+// are operational state, which a file never touches.
+var declaredKinds = []model.ObjectKind{model.KindDomain, model.KindService}
+
+// Diff returns the changes that lead from the current configuration to the
+// desired objects, in key order. Declared objects that are not desired become
+// tombstones; operational state is left alone.
+func Diff(current *model.Config, desired []model.Object) []Change {
+	var changes []Change
+	wanted := make(map[model.ObjectKey]bool, len(desired))
+	for _, after := range desired {
+		wanted[after.Key] = true
+		before := current.Objects[after.Key]
+		if change, ok := Compare(&before, &after); ok {
+			changes = append(changes, change)
+		}
+	}
+	for key, before := range current.Objects {
+		if wanted[key] || before.Deleted() || !slices.Contains(declaredKinds, key.Kind) {
+			continue
+		}
+		change, _ := Compare(&before, &model.Object{Key: key})
+		changes = append(changes, change)
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return a.Key().Compare(b.Key()) })
+	return changes
+}
+
+// DiffConfigs returns the changes of all kinds that lead from one
+// configuration to another, in key order.
+func DiffConfigs(before, after *model.Config) []Change {
+	var changes []Change
+	for key, o := range after.Objects {
+		old := before.Objects[key]
+		o.Key, old.Key = key, key
+		if change, ok := Compare(&old, &o); ok {
+			changes = append(changes, change)
+		}
+	}
+	for key, old := range before.Objects {
+		if _, ok := after.Objects[key]; ok {
+			continue
+		}
+		if change, ok := Compare(&old, &model.Object{Key: key}); ok {
+			changes = append(changes, change)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return a.Key().Compare(b.Key()) })
+	return changes
+}
+
+// Compare returns the change that leads from one object to another of the
+// same key, and false if they are equal. Either may be a tombstone.
+func Compare(before, after *model.Object) (Change, bool) {
+	change := Change{Kind: after.Key.Kind, Name: after.Key.Name, object: *after}
+	switch {
+	case before.Deleted() && after.Deleted():
+		return Change{}, false
+	case before.Deleted():
+		change.Action = Added
+	case after.Deleted():
+		change.Action = Removed
+	default:
+		change.Action = Changed
+	}
+	change.Fields = compareFields(before, after)
+	return change, change.Action != Changed || len(change.Fields) > 0
+}
--- a/operator/declaration/check.go
+++ b/operator/declaration/check.go
@@ -87,7 +87,7 @@
 // duration checks a range.
 func (o *object) duration(key string, got, low, high time.Duration) {
 	if o.origin.checkable(key) && (got < low || got > high) {
-		o.addf(key, "%s is out of range; want %s", formatDuration(got), durationRange(low, high))
+		o.addf(key, "%s is out of range; want %s", FormatDuration(got), durationRange(low, high))
 	}
 }
 
--- a/operator/declaration/duration.go
+++ b/operator/declaration/duration.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// formatDuration prints a duration without zero units: "30s", "10m", "1h30m".
-func formatDuration(d time.Duration) string {
+// FormatDuration prints a duration without zero units: "30s", "10m", "1h30m".
+func FormatDuration(d time.Duration) string {
 	s := d.String()
 	if strings.HasSuffix(s, "m0s") {
 		s = strings.TrimSuffix(s, "0s")
--- a/operator/declaration/keys.go
+++ b/operator/declaration/keys.go
@@ -82,8 +82,8 @@
 		{TableService, KeyTargets, "array of strings", "", patterns},
 		{TableService, KeyMaxSlots, "integer, requests", "", integerRange(MinSlots, MaxSlotsLimit)},
 		{TableService, KeyMaxConnections, "integer, flows", "", integerRange(MinConnections, MaxConnLimit)},
-		{TableService, KeyIdleTimeout, "string, duration", formatDuration(DefaultIdleTimeout), durationRange(MinIdleTimeout, MaxIdleTimeout)},
-		{TableService, KeyRequestTimeout, "string, duration", formatDuration(DefaultRequestTimeout), durationRange(MinRequestTimeout, MaxRequestTimeout)},
+		{TableService, KeyIdleTimeout, "string, duration", FormatDuration(DefaultIdleTimeout), durationRange(MinIdleTimeout, MaxIdleTimeout)},
+		{TableService, KeyRequestTimeout, "string, duration", FormatDuration(DefaultRequestTimeout), durationRange(MinRequestTimeout, MaxRequestTimeout)},
 	}
 }
 
@@ -92,5 +92,5 @@
 }
 
 func durationRange(low, high time.Duration) string {
-	return formatDuration(low) + " to " + formatDuration(high)
+	return FormatDuration(low) + " to " + FormatDuration(high)
 }
--- a/operator/declaration/print.go
+++ b/operator/declaration/print.go
@@ -49,8 +49,8 @@
 	printKey(b, KeyTargets, quoteAll(s.Targets))
 	printKey(b, KeyMaxSlots, strconv.Itoa(s.MaxSlots))
 	printKey(b, KeyMaxConnections, strconv.Itoa(s.MaxConnections))
-	printKey(b, KeyIdleTimeout, quote(formatDuration(s.IdleTimeout)))
-	printKey(b, KeyRequestTimeout, quote(formatDuration(s.RequestTimeout)))
+	printKey(b, KeyIdleTimeout, quote(FormatDuration(s.IdleTimeout)))
+	printKey(b, KeyRequestTimeout, quote(FormatDuration(s.RequestTimeout)))
 }
 
 // printTable starts a table, set apart by an empty line.
