Run requests with the same Idempotency-Key at most once

Cause: a caller that lost an answer sends its application again, perhaps by another flow, agent or balancer, and rent must not be billed twice.

A repetition gets the whole stored answer, from the holder by a hand-over if need be.

Not covered: death of holder, owner and deputy together, and a partition whose parts both keep valid leases.

--- a/internal/agent/front/attempt.go
+++ b/internal/agent/front/attempt.go
@@ -48,6 +48,9 @@
 	header := http.Header{}
 	header.Set(headerCaller, flow.Caller.String())
 	header.Set(headerVisited, joinNodes(e.Visited))
+	if e.ReplayOnly {
+		header.Set(headerReplay, "1")
+	}
 	return hop{name: "hand-over", peer: e.To, header: header, deadline: e.Deadline,
 		dial: func(ctx context.Context) (net.Conn, error) {
 			if f.opts.OpenStream == nil {
--- a/internal/agent/front/front_test.go
+++ b/internal/agent/front/front_test.go
@@ -24,6 +24,8 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/core/admission"
+	"amaranthwheel.example/amaranthwheel/internal/core/claims"
+	"amaranthwheel.example/amaranthwheel/internal/core/routing"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
@@ -41,6 +43,7 @@
 	peers  net.Listener
 	client *http3.Transport
 	known  []*agent
+	data   netip.AddrPort
 }
 
 // Submit steps the node at once, as a process's loop would.
@@ -49,8 +52,11 @@
 	defer a.mu.Unlock()
 	a.events = append(a.events, ev)
 	for _, e := range a.node.Step(time.Now(), ev) {
-		if r, ok := e.(core.RequestEffect); ok {
-			a.front.Deliver(r)
+		switch e := e.(type) {
+		case core.RequestEffect:
+			a.front.Deliver(e)
+		case core.SendDatagram:
+			a.sendDatagram(e)
 		}
 	}
 }
@@ -70,11 +76,14 @@
 func startAgent(t *testing.T, name model.NodeID, slots int, target http.HandlerFunc, opts Options) *agent {
 	t.Helper()
 	a := &agent{t: t, name: name}
+	a.data = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name[0]))
 	self := model.Member{Node: name, Service: service, State: model.StateAlive, Target: model.TargetName(name + "-target")}
 	board := core.NewBoard(self)
 	board.Self.Announced = true
 	board.Lease.ValidUntil = time.Now().Add(time.Hour)
-	a.node = core.NewNode(board, 1, admission.New(core.NewClaimSection(), &core.KeyedSection{}))
+	section, keyed := core.NewClaimSection(), &core.KeyedSection{}
+	c := claims.New(section, keyed)
+	a.node = core.NewNode(board, 1, c, admission.New(section, keyed), c.Recorder())
 	opts.Decider, opts.TLS, opts.Service, opts.OpenStream = a, serverTLS(t), service.ID(), a.openStream
 	a.front = New(opts)
 	a.Submit(core.TargetAnnounced{Announcement: core.Announcement{Slots: slots, Instance: "1"}})
@@ -177,16 +186,28 @@
 	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: private}}}
 }
 
-// handOverTo makes the agent know the others as its peers.
-func (a *agent) handOverTo(peers ...*agent) {
+// connect makes agents know each other.
+func connect(agents ...*agent) {
 	view := &core.View{Service: service}
-	for _, p := range peers {
-		view.Candidates = append(view.Candidates, core.Candidate{Member: model.Member{Node: p.name}, Admits: true})
+	members := make(map[model.NodeID]model.Member)
+	for _, a := range agents {
+		m := model.Member{Node: a.name, Service: service, State: model.StateAlive, Data: a.data}
+		members[a.name] = m
+		view.Candidates = append(view.Candidates, core.Candidate{Member: m, Seed: routing.Seed(a.name), Admits: true})
+	}
+	for _, a := range agents {
+		a.change(func(b *core.Board) {
+			b.Routes.Views[service.ID()] = view
+			b.Members.Records = members
+			a.known = agents
+		})
 	}
-	a.change(func(b *core.Board) {
-		b.Routes.Views[service.ID()] = view
-		a.known = peers
-	})
+}
+
+// sendDatagram delivers a datagram to a known agent.
+func (a *agent) sendDatagram(e core.SendDatagram) {
+	i := slices.IndexFunc(a.known, func(p *agent) bool { return p.data == e.To })
+	go a.known[i].Submit(core.DatagramReceived{From: a.data, Header: e.Header, Payload: e.Payload})
 }
 
 func (a *agent) openStream(_ context.Context, peer model.NodeID, _ netip.AddrPort) (net.Conn, error) {
@@ -276,10 +297,10 @@
 		panic(http.ErrAbortHandler)
 	}, Options{})
 	peer := startAgent(t, "b", 1, func(http.ResponseWriter, *http.Request) { hits.Add(1) }, Options{})
-	a.handOverTo(peer)
+	connect(a, peer)
 	for _, method := range []string{"POST", "PATCH", "GET"} {
 		hits.Store(0)
-		resp, _ := a.do(method, "", "X-Idempotency-Key", "k")
+		resp, _ := a.do(method, "", HeaderKey, method)
 		wantOutcome(t, resp, http.StatusBadGateway, OutcomeUnknown)
 		if hits.Load() != 1 {
 			t.Fatalf("%s reached targets %d times", method, hits.Load())
@@ -287,6 +308,28 @@
 	}
 }
 
+func TestRepeatedKeyGetsTheWholeStoredAnswer(t *testing.T) {
+	var hits atomic.Int32
+	target := func(w http.ResponseWriter, r *http.Request) {
+		hits.Add(1)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.Copy(w, r.Body)
+	}
+	a, b, c := startAgent(t, "a", 1, target, Options{}), startAgent(t, "b", 1, target, Options{}), startAgent(t, "c", 1, target, Options{})
+	connect(a, b, c)
+	for _, at := range []*agent{a, a, b, c} {
+		resp, body := at.do("POST", "application", HeaderKey, "k")
+		if resp.StatusCode != http.StatusCreated || body != "application" || resp.Header.Get(HeaderTarget) != "a-target" {
+			t.Fatalf("%s: got %d %q %v", at.name, resp.StatusCode, body, resp.Header)
+		}
+	}
+	resp, _ := b.do("POST", "another application", HeaderKey, "k")
+	wantOutcome(t, resp, http.StatusUnprocessableEntity, OutcomeNotRun)
+	if hits.Load() != 1 {
+		t.Fatalf("ran %d times", hits.Load())
+	}
+}
+
 func TestRefusalsAreTrue(t *testing.T) {
 	var hits atomic.Int32
 	a := startAgent(t, "a", 1, func(http.ResponseWriter, *http.Request) { hits.Add(1) }, Options{})
@@ -327,7 +370,7 @@
 		seen <- r.Header
 		_, _ = io.Copy(w, r.Body)
 	}, Options{TracerProvider: provider})
-	a.handOverTo(peer)
+	connect(a, peer)
 	trace := "0af7651916cd43dd8448eb211c80319c"
 	resp, body := a.do("POST", "application", HeaderTimeout, "5000", "Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
 	if resp.StatusCode != http.StatusOK || body != "application" || resp.Header.Get(HeaderTarget) != "b-target" {
--- a/internal/agent/front/headers.go
+++ b/internal/agent/front/headers.go
@@ -26,6 +26,7 @@
 
 	headerCaller  = "Amaranthwheel-Caller"
 	headerVisited = "Amaranthwheel-Visited"
+	headerReplay  = "Amaranthwheel-Replay"
 	headerPrefix  = "Amaranthwheel-"
 )
 
--- a/internal/agent/front/request.go
+++ b/internal/agent/front/request.go
@@ -30,6 +30,7 @@
 	f.serve(w, r, core.RequestArrived{
 		Flow:       model.FlowKey{Caller: caller, Service: f.opts.Service},
 		HandedOver: true,
+		ReplayOnly: r.Header.Get(headerReplay) != "",
 		Visited:    splitNodes(r.Header.Get(headerVisited)),
 	})
 }
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -201,6 +201,10 @@
 	if r == nil || r.phase != phaseHandedOver {
 		return
 	}
+	if r.replay {
+		c.fetched(t, r, ev)
+		return
+	}
 	if ev.Outcome.NotRun() {
 		c.peers.refusedAt(ev.Peer, t.Now)
 	}
@@ -212,6 +216,16 @@
 	})
 }
 
+// fetched ends a request whose stored answer another agent keeps.
+func (c *Controller) fetched(t *core.Turn, r *request, ev core.HandOverFinished) {
+	switch ev.Outcome {
+	case core.OutcomeAnswered, core.OutcomeAborted:
+		c.end(r, core.KeyedChange{State: core.KeyedNotRun})
+	default:
+		c.refuse(t, r, core.RefuseKeyDone, false)
+	}
+}
+
 // tick learns from slow requests and lets old knowledge lapse.
 func (c *Controller) tick(t *core.Turn) {
 	slow := 0
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
 const (
@@ -49,6 +50,9 @@
 		t.Emit(core.ReplayAnswer{ID: r.arrived.ID, Answer: claim.Answer})
 		c.end(r, core.KeyedChange{State: core.KeyedNotRun})
 		return false
+	case core.ClaimAtHolder:
+		c.fetchAnswer(t, r, claim.Holder)
+		return false
 	}
 	// An earlier request with the key may have run, so nothing is claimed
 	// about the outcome while its owner has not answered.
@@ -63,6 +67,21 @@
 	return false
 }
 
+// fetchAnswer leaves a repeated request to the agent that keeps the answer.
+func (c *Controller) fetchAnswer(t *core.Turn, r *request, holder model.NodeID) {
+	c.waiting.remove(r)
+	r.phase = phaseHandedOver
+	r.replay = true
+	t.Emit(core.HandOver{
+		ID:         r.arrived.ID,
+		To:         holder,
+		Addr:       t.Board.Members.Records[holder].Control,
+		Deadline:   r.deadline,
+		Visited:    r.visited,
+		ReplayOnly: true,
+	})
+}
+
 // decide grants, refuses or hands over a request that may run. It reports
 // whether the request goes on waiting.
 func (c *Controller) decide(t *core.Turn, r *request, queued int) bool {
--- a/internal/core/admission/request.go
+++ b/internal/core/admission/request.go
@@ -33,14 +33,16 @@
 	// full reports that the request took the last slot of the limit.
 	full bool
 	// tried counts the attempts, here and at other agents.
-	tried     int
+	tried int
+	// replay reports that the request was handed over for a stored answer.
+	replay    bool
 	handOvers int
 	visited   []model.NodeID
 }
 
 // keyed reports whether the request needs a claim at this agent.
 func (r *request) keyed() bool {
-	return r.arrived.Key != "" && !r.arrived.HandedOver
+	return r.arrived.Key != "" && (!r.arrived.HandedOver || r.arrived.ReplayOnly)
 }
 
 // waitQueue is the requests that wait for a slot, the earliest deadline first.
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -1,5 +1,7 @@
 package core
 
+import "amaranthwheel.example/amaranthwheel/internal/model"
+
 // ClaimState is the state of a key's claim for one request.
 type ClaimState uint8
 
@@ -13,6 +15,8 @@
 	ClaimRefused
 	// ClaimReplay answers the request with the key's stored answer.
 	ClaimReplay
+	// ClaimAtHolder leaves the stored answer to the agent that keeps it.
+	ClaimAtHolder
 )
 
 // Claim is what is known of an Idempotency-Key for one request.
@@ -20,6 +24,7 @@
 	State  ClaimState
 	Reason RefuseReason
 	Answer *StoredAnswer
+	Holder model.NodeID
 }
 
 // ClaimSection is the claims of the requests that carry a key. Writer: claims
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -35,6 +35,8 @@
 	// HandedOver reports that another agent sent the request. Its key, if any,
 	// is already claimed by that agent.
 	HandedOver bool
+	// ReplayOnly asks for the stored answer of the key, and for nothing to run.
+	ReplayOnly bool
 	// Visited lists the agents that had the request before, the first being
 	// the one that holds the flow.
 	Visited []model.NodeID
@@ -202,6 +204,8 @@
 	// Visited lists the agents that must not get the request again, this one
 	// included.
 	Visited []model.NodeID
+	// ReplayOnly asks for the stored answer of the request's key.
+	ReplayOnly bool
 }
 
 // ReplayAnswer answers the caller with the stored answer of its key.
