--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -69,43 +69,36 @@
 	f.alive.Store(int64(time.Since(f.start)))
 }
 
-// SetViews replaces the candidates.
-func (f *Forwarder) SetViews(views map[model.ServiceID]*core.View) {
+// SetViews replaces the candidates. It opens a socket for each new service
+// and closes those of services that are gone or moved. Addresses that could
+// not be bound are returned as joined errors and tried again the next time.
+func (f *Forwarder) SetViews(views map[model.ServiceID]*core.View) error {
 	f.views.Store(&views)
-}
-
-// SetServices opens a socket for each service and closes those of services
-// that are gone or moved. It returns the addresses that could not be bound.
-func (f *Forwarder) SetServices(services []*model.Service) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wanted := make(map[model.ServiceID]netip.AddrPort, len(services))
-	for _, s := range services {
-		wanted[s.Name.ID()] = f.addressOf(s)
-	}
 	for id, l := range f.listeners {
-		if wanted[id] != l.address {
+		if v := views[id]; v == nil || f.addressOf(v) != l.address {
 			_ = l.conn.Close()
 			delete(f.listeners, id)
 		}
 	}
 	var errs []error
-	for id, address := range wanted {
-		if _, ok := f.listeners[id]; ok {
+	for id, v := range views {
+		if f.listeners[id] != nil {
 			continue
 		}
-		if err := f.listen(id, address); err != nil {
+		if err := f.listen(id, f.addressOf(v)); err != nil {
 			errs = append(errs, err)
 		}
 	}
 	return errors.Join(errs...)
 }
 
-func (f *Forwarder) addressOf(s *model.Service) netip.AddrPort {
+func (f *Forwarder) addressOf(v *core.View) netip.AddrPort {
 	if f.bind.IsValid() {
-		return netip.AddrPortFrom(f.bind, s.Address.Port())
+		return netip.AddrPortFrom(f.bind, v.Address.Port())
 	}
-	return s.Address
+	return v.Address
 }
 
 // listen opens the socket of one service; f.mu is held.
--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"net/netip"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/model"
@@ -106,6 +107,8 @@
 type View struct {
 	Service model.ServiceName
 	Mode    model.Mode
+	// Address is where callers send datagrams.
+	Address netip.AddrPort
 	// Digest is equal on nodes with the same candidates and incarnations.
 	Digest     uint64
 	Candidates []Candidate
--- a/internal/core/directory/controller.go
+++ b/internal/core/directory/controller.go
@@ -22,6 +22,12 @@
 	// placing are the entries with retries due, a subset of entries.
 	placing map[model.FlowKey]*entry
 	loads   map[model.NodeID]peerLoad
+	// strangers are agents that sent authenticated messages while the members
+	// do not name them, or name them dead.
+	strangers map[model.NodeID]stranger
+	// leaseHeld and leaseRegained follow the lease of this agent.
+	leaseHeld     bool
+	leaseRegained time.Time
 
 	routeGeneration uint64
 	sweepAt         time.Time
@@ -41,16 +47,19 @@
 		placing: make(map[model.FlowKey]*entry),
 		loads:   make(map[model.NodeID]peerLoad),
 		batches: make(map[uint64][]model.FlowKey),
+
+		strangers: make(map[model.NodeID]stranger),
 	}
 }
 
 // Handle decides about datagrams, flows that end and the passing of time.
 func (c *Controller) Handle(t *core.Turn, ev core.Event) {
+	c.watchLease(t)
 	switch ev := ev.(type) {
 	case core.DatagramReceived:
 		c.datagram(t, ev)
 	case core.FlowEstablished:
-		c.established(t, ev.Flow)
+		c.established(ev.Flow)
 	case core.FlowClosed:
 		c.closed(t, ev.Flow)
 	case core.Tick:
@@ -95,7 +104,7 @@
 func (c *Controller) packet(t *core.Turn, ev core.DatagramReceived) {
 	flow := ev.Header.Flow()
 	if _, ok := c.held[flow]; ok {
-		t.Emit(core.Deliver{Flow: flow, Payload: ev.Payload})
+		c.deliver(t, flow, ev.Payload)
 		return
 	}
 	if e, ok := c.entries[flow]; ok {
@@ -176,13 +185,40 @@
 	})
 }
 
-// addressOf returns the data address of a member that may hold flows.
-func (c *Controller) addressOf(t *core.Turn, node model.NodeID) (netip.AddrPort, bool) {
+// member returns the record of an agent that may hold flows.
+func (c *Controller) member(t *core.Turn, node model.NodeID) (model.Member, bool) {
 	m, ok := t.Board.Members.Records[node]
-	if !ok || m.Gone() || t.Board.Config.Current.DomainOut(m.Domain) {
-		return netip.AddrPort{}, false
+	if ok && t.Board.Config.Current.DomainOut(m.Domain) {
+		return model.Member{}, false
+	}
+	if ok && !m.Gone() {
+		return m, true
 	}
-	return m.Data, true
+	s, ok := c.strangers[node]
+	return s.member, ok && t.Now.Before(s.until)
+}
+
+// addressOf returns the data address of an agent that may hold flows.
+func (c *Controller) addressOf(t *core.Turn, node model.NodeID) (netip.AddrPort, bool) {
+	m, ok := c.member(t, node)
+	return m.Data, ok
+}
+
+// watchLease notes when this agent gets its lease back. It may have been
+// removed and its homes moved meanwhile, without a trace in its own view.
+func (c *Controller) watchLease(t *core.Turn) {
+	valid := t.Board.Lease.Valid(t.Now)
+	if valid && !c.leaseHeld {
+		c.leaseRegained = t.Now
+	}
+	c.leaseHeld = valid
+}
+
+// settled reports whether every holder has had time to register its flows
+// with this agent as their home.
+func (c *Controller) settled(t *core.Turn, v *core.View) bool {
+	window := c.options.SettleWindow
+	return t.Now.Sub(v.Changed) >= window && t.Now.Sub(c.leaseRegained) >= window
 }
 
 // load returns what this agent reports to its peers.
--- a/internal/core/directory/holding.go
+++ b/internal/core/directory/holding.go
@@ -14,17 +14,28 @@
 const sweepInterval = time.Second
 
 // hold admits a flow at this agent.
-func (c *Controller) hold(t *core.Turn, flow model.FlowKey, pending [][]byte) {
-	v := c.view(t)
-	c.held[flow] = &heldFlow{since: t.Now, established: v != nil && v.Mode == model.ModeFlow}
+func (c *Controller) hold(t *core.Turn, flow model.FlowKey) {
+	c.held[flow] = &heldFlow{since: t.Now}
 	t.Emit(core.Count{Name: "flow_admitted", Delta: 1})
-	for _, payload := range pending {
-		t.Emit(core.Deliver{Flow: flow, Payload: payload})
+}
+
+// deliver hands a datagram to the local end of a held flow. In mode flow,
+// which has no handshake, that establishes the flow.
+func (c *Controller) deliver(t *core.Turn, flow model.FlowKey, payload []byte) {
+	t.Emit(core.Deliver{Flow: flow, Payload: payload})
+	if v := c.view(t); v != nil && v.Mode == model.ModeFlow {
+		c.established(flow)
+	}
+}
+
+func (c *Controller) deliverAll(t *core.Turn, flow model.FlowKey, payloads [][]byte) {
+	for _, payload := range payloads {
+		c.deliver(t, flow, payload)
 	}
 }
 
 // established notes that the flow's caller has completed its handshake.
-func (c *Controller) established(_ *core.Turn, flow model.FlowKey) {
+func (c *Controller) established(flow model.FlowKey) {
 	if f, ok := c.held[flow]; ok && !f.established {
 		f.established = true
 		f.confirmed = false
@@ -81,8 +92,7 @@
 		if e.phase != phaseHeld && e.phase != phaseYielded {
 			continue
 		}
-		_, ok := c.addressOf(t, e.holder)
-		if !ok || t.Board.Members.Records[e.holder].Incarnation != e.incarnation {
+		if m, ok := c.member(t, e.holder); !ok || m.Incarnation != e.incarnation {
 			c.remove(flow)
 		}
 	}
@@ -134,6 +144,11 @@
 			c.drop(t, flow, "handshake timeout")
 		}
 	}
+	for node, s := range c.strangers {
+		if t.Now.After(s.until) {
+			delete(c.strangers, node)
+		}
+	}
 	clear(c.batches)
 }
 
--- a/internal/core/directory/messages.go
+++ b/internal/core/directory/messages.go
@@ -42,7 +42,7 @@
 		t.Emit(core.Count{Name: "placement_malformed", Delta: 1})
 		return
 	}
-	from, ok := c.sender(t, &m)
+	from, ok := c.sender(t, &m, ev.From)
 	if !ok {
 		t.Emit(core.Count{Name: "placement_unknown_sender", Delta: 1})
 		return
@@ -67,14 +67,24 @@
 	}
 }
 
-// sender returns the member that sent a message. A message of a replaced
-// process instance, or of one not yet known, is ignored; senders retry.
-func (c *Controller) sender(t *core.Turn, m *placementpb.Placement) (model.Member, bool) {
-	from, ok := t.Board.Members.Records[model.NodeID(m.From)]
-	if !ok || from.Gone() || from.Incarnation != m.Incarnation {
+// sender returns the member that sent a message. The message is authenticated,
+// so a sender whose record has not arrived, or that is wrongly held dead, is
+// answered at the address it sent from. Messages of replaced instances, of
+// members that left and from failure domains that are out are ignored.
+func (c *Controller) sender(t *core.Turn, m *placementpb.Placement, from netip.AddrPort) (model.Member, bool) {
+	node := model.NodeID(m.From)
+	record, known := t.Board.Members.Records[node]
+	switch {
+	case known && (record.Incarnation > m.Incarnation || t.Board.Config.Current.DomainOut(record.Domain)):
+		return model.Member{}, false
+	case known && record.Incarnation == m.Incarnation && !record.Gone():
+		return record, true
+	case known && record.Incarnation == m.Incarnation && record.State == model.StateLeft:
 		return model.Member{}, false
 	}
-	return from, !t.Board.Config.Current.DomainOut(from.Domain)
+	member := model.Member{Node: node, Role: model.RoleAgent, Incarnation: m.Incarnation, Data: from}
+	c.strangers[node] = stranger{member: member, until: t.Now.Add(strangerTimeout)}
+	return member, true
 }
 
 func (c *Controller) noteLoad(t *core.Turn, from model.NodeID, l *placementpb.Load) {
@@ -97,7 +107,7 @@
 	if !accepted && !elsewhere && c.load(t).capacity > 0 {
 		accepted = true
 		c.remove(flow)
-		c.hold(t, flow, [][]byte{m.Datagram})
+		c.hold(t, flow)
 	}
 	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_OfferReply{
 		OfferReply: &placementpb.OfferReply{Flow: m.Flow, Epoch: m.Epoch, Accepted: accepted},
@@ -116,8 +126,6 @@
 	case current && m.Accepted:
 		e.expires = t.Now.Add(3 * c.options.RegisterEvery)
 		e.since = t.Now
-		// The holder got the opener with the offer.
-		e.pending = withoutOpener(e)
 		c.found(t, flow, e, from.Node, wire.KindForward, phaseHeld)
 	case current:
 		c.offerNext(t, flow, e)
@@ -127,12 +135,6 @@
 	}
 }
 
-func withoutOpener(e *entry) [][]byte {
-	return slices.DeleteFunc(e.pending, func(p []byte) bool {
-		return len(p) > 0 && len(e.opener) > 0 && &p[0] == &e.opener[0]
-	})
-}
-
 func (c *Controller) heldBy(flow model.FlowKey, node model.NodeID) bool {
 	e := c.entries[flow]
 	return e != nil && e.phase == phaseHeld && e.holder == node
@@ -173,7 +175,7 @@
 		if e.established || !pb.Established {
 			return false
 		}
-		if other, ok := t.Board.Members.Records[e.holder]; ok {
+		if other, ok := c.member(t, e.holder); ok {
 			c.reject(t, other, flow)
 		}
 	}
--- a/internal/core/directory/options.go
+++ b/internal/core/directory/options.go
@@ -59,6 +59,9 @@
 	placingTimeout = 10 * time.Second
 	// yieldedTimeout is how long datagrams go to another home after a probe.
 	yieldedTimeout = 10 * time.Second
+	// strangerTimeout is how long an agent whose record has not arrived is
+	// dealt with after its last message.
+	strangerTimeout = 10 * time.Second
 	// registerRetry is the interval between unconfirmed registrations.
 	registerRetry = 500 * time.Millisecond
 	// registerBatch bounds the flows in one registration, so that it fits a
--- a/internal/core/directory/placing.go
+++ b/internal/core/directory/placing.go
@@ -28,8 +28,7 @@
 	c.entries[flow] = e
 	c.placing[flow] = e
 	c.keep(t, e, payload)
-	settled := t.Now.Sub(v.Changed) >= c.options.SettleWindow
-	if opener && settled {
+	if opener && c.settled(t, v) {
 		c.startOffers(t, flow, e)
 		return
 	}
@@ -55,10 +54,9 @@
 		t.Emit(core.Count{Name: "datagram_pending_full", Delta: 1})
 		return
 	}
-	kept := bytes.Clone(payload)
-	e.pending = append(e.pending, kept)
-	if v := c.view(t); e.opener == nil && v != nil && opensFlow(v.Mode, payload) {
-		e.opener = kept
+	e.pending = append(e.pending, bytes.Clone(payload))
+	if v := c.view(t); v != nil && opensFlow(v.Mode, payload) {
+		e.opens = true
 	}
 }
 
@@ -105,7 +103,7 @@
 
 // probed ends a search in which no candidate knew a holder.
 func (c *Controller) probed(t *core.Turn, flow model.FlowKey, e *entry) {
-	if e.opener == nil {
+	if !e.opens {
 		t.Emit(core.Count{Name: "datagram_unknown_flow", Delta: int64(len(e.pending))})
 		c.remove(flow)
 		return
@@ -178,9 +176,9 @@
 			return
 		}
 		if c.load(t).capacity > 0 {
-			pending := e.pending
 			c.remove(flow)
-			c.hold(t, flow, pending)
+			c.hold(t, flow)
+			c.deliverAll(t, flow, e.pending)
 			return
 		}
 	}
@@ -192,13 +190,13 @@
 	e.attempts++
 	e.retryAt = t.Now.Add(c.options.Retry)
 	c.send(t, e.offered.data, flow, &placementpb.Placement{Body: &placementpb.Placement_Offer{
-		Offer: &placementpb.Offer{Flow: flowMessage(flow), Epoch: e.epoch, Datagram: e.opener},
+		Offer: &placementpb.Offer{Flow: flowMessage(flow), Epoch: e.epoch},
 	}})
 }
 
 // found ends a placement with a holder and passes on what was kept.
 func (c *Controller) found(t *core.Turn, flow model.FlowKey, e *entry, holder model.NodeID, kind wire.Kind, p phase) {
-	data, ok := c.addressOf(t, holder)
+	m, ok := c.member(t, holder)
 	if !ok {
 		return
 	}
@@ -206,10 +204,10 @@
 	pending := e.pending
 	e.phase = p
 	e.holder = holder
-	e.incarnation = t.Board.Members.Records[holder].Incarnation
-	e.awaiting, e.choices, e.pending, e.opener = nil, nil, nil, nil
+	e.incarnation = m.Incarnation
+	e.awaiting, e.choices, e.pending = nil, nil, nil
 	for _, payload := range pending {
-		c.forward(t, data, kind, flow, 0, payload)
+		c.forward(t, m.Data, kind, flow, 0, payload)
 	}
 }
 
--- a/internal/core/directory/state.go
+++ b/internal/core/directory/state.go
@@ -40,10 +40,10 @@
 	since       time.Time
 	established bool
 
-	// opener is the datagram that may start the flow; nil while only
-	// datagrams from the middle of a flow have arrived.
-	opener  []byte
+	// pending are the datagrams that wait for the placement; opens reports
+	// whether one of them may start the flow.
 	pending [][]byte
+	opens   bool
 
 	// awaiting are the candidates whose probe replies are missing.
 	awaiting map[model.NodeID]netip.AddrPort
@@ -76,3 +76,10 @@
 	}
 	return float64(l.flows) / float64(l.flows+l.capacity)
 }
+
+// stranger is the sender of an authenticated message that the members do not
+// vouch for yet. It is answered until its own record arrives.
+type stranger struct {
+	member model.Member
+	until  time.Time
+}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// pausedPastLease is the one scenario in which a target counts as dead.
+const pausedPastLease = "pause past the lease, with a join"
+
 // scenarios are the changes that no established flow may notice, unless its
 // own target goes.
 var scenarios = map[string]func(f *fleet.Fleet){
@@ -49,7 +52,7 @@
 		f.AddBalancer()
 	},
 	"short pause": func(f *fleet.Fleet) { f.Pause(f.Agents[2], 2*time.Second, detection) },
-	"pause past the lease, with a join": func(f *fleet.Fleet) {
+	pausedPastLease: func(f *fleet.Fleet) {
 		f.Pause(f.Agents[2], 8*time.Second, detection)
 		f.Run(time.Second)
 		f.Join()
@@ -123,3 +126,53 @@
 		}
 	}
 }
+
+// TestNewHomeIsAnsweredBeforeItsRecordArrives opens a flow while an agent
+// joins and another one is paused. The seeds are those of a comparison in which
+// two homes placed the flow, because nobody answered the probes of a home that
+// they had not heard of.
+func TestNewHomeIsAnsweredBeforeItsRecordArrives(t *testing.T) {
+	for _, seed := range []uint64{6, 12, 29} {
+		f := fleet.New(options(seed))
+		f.Run(15 * time.Second)
+		load(f, 100)
+		f.Pause(f.Agents[2], 8*time.Second, detection)
+		f.Join()
+		load(f, 100)
+		f.Run(40 * time.Second)
+		check(t, f, seed)
+	}
+}
+
+// TestOpaqueFlowsKeepTheirTarget runs mode flow, in which nothing in a datagram
+// tells a new flow from one that is held elsewhere. Flows of a target that
+// counts as dead go to another one; no other flow may move.
+func TestOpaqueFlowsKeepTheirTarget(t *testing.T) {
+	for name, change := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 5; seed++ {
+				o := options(seed)
+				o.Mode = model.ModeFlow
+				f := fleet.New(o)
+				f.Run(15 * time.Second)
+				load(f, 100)
+				change(f)
+				load(f, 100)
+				f.Run(30 * time.Second)
+				if name == pausedPastLease {
+					forgive(f.Flows, f.Agents[2])
+				}
+				check(t, f, seed)
+			}
+		})
+	}
+}
+
+// forgive clears the broken flows of one agent.
+func forgive(flows []*fleet.Flow, a *fleet.Agent) {
+	for _, fl := range flows {
+		if fl.Target == a {
+			fl.Broken = false
+		}
+	}
+}
--- a/internal/core/fleet/flows.go
+++ b/internal/core/fleet/flows.go
@@ -97,7 +97,8 @@
 // took its failure domain out.
 func (f *Fleet) end(fl *Flow, reason string) {
 	fl.Reason = reason
-	if fl.Target.node.Board().Self.Out {
+	domain := fl.Target.Member.Domain
+	if f.config.DomainOut(domain) || fl.Target.node.Board().Self.Out {
 		fl.GivenUp = true
 		return
 	}
--- a/internal/core/routing/controller.go
+++ b/internal/core/routing/controller.go
@@ -87,7 +87,10 @@
 	slices.SortFunc(candidates, func(a, b core.Candidate) int {
 		return cmp.Compare(a.Member.Node, b.Member.Node)
 	})
-	return &core.View{Service: s.Name, Mode: s.Mode, Candidates: candidates, Digest: digest(candidates)}
+	return &core.View{
+		Service: s.Name, Mode: s.Mode, Address: s.Address,
+		Candidates: candidates, Digest: digest(candidates),
+	}
 }
 
 // digest hashes the candidates' names and incarnations: what decides homes.
@@ -103,7 +106,7 @@
 }
 
 func sameCandidates(a, b *core.View) bool {
-	return a.Mode == b.Mode && slices.Equal(a.Candidates, b.Candidates)
+	return a.Mode == b.Mode && a.Address == b.Address && slices.Equal(a.Candidates, b.Candidates)
 }
 
 func sameViews(a, b map[model.ServiceID]*core.View) bool {
