Speak to the store over the etcd v3 JSON gateway, with a stand-in for tests

The adapter fails over between endpoints, bounds each call and answer, counts every request and tells ErrUnavailable (known not to have taken effect) from ErrOutcomeUnknown (a connection was there, so the write may have taken effect). A write of unknown outcome is never sent again by the adapter. The stand-in keeps the subset in memory, with the faults down, slow, answers lost, lease lapse and watch drop.

Ruled out: repeating writes in the adapter, because only the caller knows whether its compare makes that safe; and taking a 5xx answer as "not written", because etcd gives it also after it has proposed the write.

--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,128 @@
+// Package store is the product's view of the platform's key-value service: a
+// small interface with compare-and-swap, leases and watches, and its adapter
+// for the etcd v3 JSON gateway.
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Revision numbers the store's states. Every write raises it; a key that does
+// not exist has revision 0.
+type Revision int64
+
+// LeaseID identifies a lease. The zero value is no lease.
+type LeaseID int64
+
+// KeyValue is a stored pair.
+type KeyValue struct {
+	Key   string
+	Value []byte
+	// ModRevision is the revision of the last write of the key.
+	ModRevision Revision
+	Lease       LeaseID
+}
+
+// Op is one operation of a transaction: a Range, a Put or a Delete.
+type Op interface{ op() }
+
+// Range reads pairs in key order.
+type Range struct {
+	// Key is the first key.
+	Key string
+	// End is the key after the last one; empty reads Key alone.
+	End string
+	// Limit bounds the number of pairs; 0 is no bound.
+	Limit int
+	// MinModRevision leaves out the pairs that were last written before it.
+	MinModRevision Revision
+}
+
+// Put writes a pair.
+type Put struct {
+	Key   string
+	Value []byte
+	// Lease deletes the pair when it lapses; 0 is none.
+	Lease LeaseID
+}
+
+// Delete deletes a key.
+type Delete struct{ Key string }
+
+func (Range) op()  {}
+func (Put) op()    {}
+func (Delete) op() {}
+
+// Prefix returns a Range over all keys that start with the prefix.
+func Prefix(prefix string) Range {
+	return Range{Key: prefix, End: PrefixEnd(prefix)}
+}
+
+// PrefixEnd returns the key after the last one that starts with the prefix.
+// The prefix must not be empty or end in byte 0xff.
+func PrefixEnd(prefix string) string {
+	last := len(prefix) - 1
+	return prefix[:last] + string([]byte{prefix[last] + 1})
+}
+
+// Compare is a condition of a transaction: the key was last written at
+// ModRevision. Revision 0 requires that the key does not exist.
+type Compare struct {
+	Key         string
+	ModRevision Revision
+}
+
+// Txn is a set of operations that take effect together or not at all.
+type Txn struct {
+	// Compares must all hold for Ops to run.
+	Compares []Compare
+	Ops      []Op
+}
+
+// MaxTxnOps is the number of operations that a store accepts in one Txn.
+const MaxTxnOps = 128
+
+// RangeResult answers a Range.
+type RangeResult struct {
+	// Revision is the state of the store that was read.
+	Revision Revision
+	KVs      []KeyValue
+}
+
+// TxnResult answers a Txn.
+type TxnResult struct {
+	// Revision is the state of the store after the transaction.
+	Revision Revision
+	// Ranges answers the Range operations, in their order.
+	Ranges []RangeResult
+}
+
+// Event is a change that a watch reports.
+type Event struct {
+	// KV has no Value if the key was deleted.
+	KV      KeyValue
+	Deleted bool
+}
+
+// Store is the key-value service. Calls return the errors of this package;
+// see errors.go. It is safe for concurrent use.
+type Store interface {
+	// Range reads pairs from one state of the store.
+	Range(ctx context.Context, r Range) (RangeResult, error)
+	// Txn runs a transaction. It fails with ErrCompareFailed if a condition
+	// did not hold, and with ErrOutcomeUnknown if a write may have taken
+	// effect. A Txn of Ranges only never fails with ErrOutcomeUnknown.
+	Txn(ctx context.Context, t Txn) (TxnResult, error)
+	// Grant creates a lease, rounded up to whole seconds.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease and returns its time to live. It fails with
+	// ErrLeaseLapsed if the lease has ended.
+	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, id LeaseID) error
+	// Watch calls notify for every change of the key at or after the revision,
+	// in order, until the context or the stream ends. It always returns an
+	// error: the caller reads the key again and resumes.
+	Watch(ctx context.Context, key string, from Revision, notify func(Event)) error
+}
