Add the target, caller and certificate stand-ins

Cause: the scenarios need targets that start cold, shed and fall over, and callers that check every answer and keep a ledger; nothing of the platform runs in tests.

Ruled out: a wrapper that embeds *net.UDPConn for the fabric, because quic-go reads and writes such a socket past the wrapper; a ledger in the target's memory alone, because a killed target would lose it, so runs are appended to a file when they start and when they end.

--- /dev/null
+++ b/standin/caller/exchange.go
@@ -0,0 +1,150 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"amaranthwheel.example/amaranthwheel/standin/workload"
+)
+
+// errCancelled ends a request that the caller gives up.
+var errCancelled = errors.New("cancelled by the caller")
+
+// exchange sends a planned request on a session, reads and checks the whole
+// answer and records the outcome.
+func (s *session) exchange(ctx context.Context, p plan) workload.Request {
+	cfg := &s.caller.cfg
+	r := workload.Request{
+		ID: s.caller.requestID(), IdempotencyKey: p.key, Service: cfg.Service,
+		Flow: s.flow, Method: p.method, Size: p.size,
+	}
+	if p.body > 0 {
+		r.Body = workload.BodyDigest(p.bodyName(r.ID), cfg.Service, p.body)
+	}
+	ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
+	defer cancel()
+	if p.cancelAfter > 0 {
+		var giveUp context.CancelCauseFunc
+		ctx, giveUp = context.WithCancelCause(ctx)
+		defer time.AfterFunc(p.cancelAfter, func() { giveUp(errCancelled) }).Stop()
+	}
+	r.Sent = time.Now()
+	s.caller.recorder.sent(r.Sent)
+	resp, err := s.roundTrip(ctx, p, &r)
+	if err != nil {
+		classifyError(ctx, err, &r)
+	} else {
+		readAnswer(ctx, resp, p, &r)
+	}
+	r.Done = time.Now()
+	s.caller.recorder.done(r)
+	return r
+}
+
+// roundTrip sends the request and returns the answer's header.
+func (s *session) roundTrip(ctx context.Context, p plan, r *workload.Request) (*http.Response, error) {
+	cfg := &s.caller.cfg
+	var body io.Reader
+	if p.body > 0 {
+		body = workload.NewBody(p.bodyName(r.ID), cfg.Service, p.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, p.method, p.url(s.caller.authority), body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = p.body
+	req.Header.Set(workload.HeaderRequestID, r.ID)
+	req.Header.Set(workload.HeaderTimeout, strconv.FormatInt(cfg.Timeout.Milliseconds(), 10))
+	if p.key != "" {
+		req.Header.Set(workload.HeaderIdempotencyKey, p.key)
+	}
+	return s.http.RoundTrip(req)
+}
+
+// readAnswer reads an answer to its end and classifies it.
+func readAnswer(ctx context.Context, resp *http.Response, p plan, r *workload.Request) {
+	defer resp.Body.Close()
+	r.Status = resp.StatusCode
+	r.Target = resp.Header.Get(workload.HeaderTarget)
+	r.AnswerID = resp.Header.Get(workload.HeaderRequestID)
+	digest, err := workload.DigestOf(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		classifyStatus(resp, r)
+		return
+	}
+	r.Answer = digest
+	if err != nil {
+		classifyError(ctx, err, r)
+		if r.Outcome == workload.RequestLost && !connectionClosed(err) {
+			r.Fault = workload.AnswerTruncated
+		}
+		return
+	}
+	r.Fault = checkAnswer(p, r)
+	r.Outcome = workload.RequestAnswered
+	if r.Fault != workload.AnswerWhole {
+		r.Outcome = workload.RequestLost
+	}
+}
+
+// classifyStatus sets the outcome of an answer with an error status.
+func classifyStatus(resp *http.Response, r *workload.Request) {
+	r.Outcome = workload.RequestUnknown
+	if resp.Header.Get(workload.HeaderOutcome) == workload.OutcomeNotRun {
+		r.Outcome = workload.RequestRefused
+	}
+}
+
+// classifyError sets the outcome of a request without a whole answer.
+func classifyError(ctx context.Context, err error, r *workload.Request) {
+	r.Error = err.Error()
+	var h3 *http3.Error
+	switch {
+	case ctx.Err() != nil:
+		r.Outcome = workload.RequestUnknown
+		r.Error = context.Cause(ctx).Error()
+	case errors.As(err, &h3) && h3.ErrorCode == http3.ErrCodeRequestRejected:
+		r.Outcome = workload.RequestRefused // RFC 9114: the request was not processed
+	default:
+		r.Outcome = workload.RequestLost
+	}
+}
+
+// connectionClosed reports whether the error is the end of the connection
+// rather than of one request.
+func connectionClosed(err error) bool {
+	var application *quic.ApplicationError
+	var transport *quic.TransportError
+	var idle *quic.IdleTimeoutError
+	var reset *quic.StatelessResetError
+	return errors.As(err, &application) || errors.As(err, &transport) ||
+		errors.As(err, &idle) || errors.As(err, &reset)
+}
+
+// checkAnswer compares a received answer with the one that the request, or an
+// earlier one with the same key, must have.
+func checkAnswer(p plan, r *workload.Request) workload.AnswerFault {
+	id := r.ID
+	if slices.Contains(p.earlier, r.AnswerID) {
+		id = r.AnswerID
+	} else if r.AnswerID != "" && r.AnswerID != r.ID {
+		return workload.AnswerCrossed
+	}
+	want := workload.AnswerDigest(id, r.Service, p.size)
+	switch {
+	case r.Answer == want:
+		return workload.AnswerWhole
+	case r.Answer.Bytes < want.Bytes:
+		return workload.AnswerTruncated
+	default:
+		return workload.AnswerCrossed
+	}
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -2,4 +2,30 @@
 // a store, targets and callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/standin/caller"
+	"amaranthwheel.example/amaranthwheel/standin/certs"
+	"amaranthwheel.example/amaranthwheel/standin/target"
+)
+
+func main() {
+	root := &cli.Command{
+		Name:  "standin",
+		Usage: "stand-ins for the platform, for tests",
+		Commands: []*cli.Command{
+			target.Command(),
+			caller.Command(),
+			certs.Command(),
+		},
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/workload/runs.go
@@ -0,0 +1,97 @@
+package workload
+
+import "time"
+
+// RunOutcome is how a target's work on a request ended.
+type RunOutcome string
+
+// The outcomes of runs. Work that a target refused is no run.
+const (
+	RunRunning   RunOutcome = "running"
+	RunCompleted RunOutcome = "completed"
+	// RunCancelled is work that stopped because the connection closed.
+	RunCancelled RunOutcome = "cancelled"
+	// RunTimedOut is work that stopped at the request's deadline.
+	RunTimedOut RunOutcome = "timed-out"
+	// RunFailed is work that failed because the target fell over.
+	RunFailed RunOutcome = "failed"
+)
+
+// Run is one execution of a request by a target.
+type Run struct {
+	// Number counts the runs of a target's instance, from 1.
+	Number         uint64     `json:"number"`
+	Target         string     `json:"target"`
+	Instance       string     `json:"instance"`
+	Service        string     `json:"service"`
+	RequestID      string     `json:"request_id"`
+	IdempotencyKey string     `json:"idempotency_key,omitempty"`
+	Method         string     `json:"method"`
+	Path           string     `json:"path"`
+	Body           Digest     `json:"body"`
+	Started        time.Time  `json:"started"`
+	Finished       time.Time  `json:"finished,omitzero"`
+	Outcome        RunOutcome `json:"outcome"`
+}
+
+// ViolationKind names what was done to a target that it must be spared.
+type ViolationKind string
+
+// The kinds of violations.
+const (
+	// ViolationOverloaded is a target that fell over under its load.
+	ViolationOverloaded ViolationKind = "overloaded"
+	// ViolationConnections is a connection above the target's cap.
+	ViolationConnections ViolationKind = "connections"
+)
+
+// Violation is one fault of those who send work to a target.
+type Violation struct {
+	Kind   ViolationKind `json:"kind"`
+	Target string        `json:"target"`
+	At     time.Time     `json:"at"`
+	Detail string        `json:"detail"`
+}
+
+// TargetRecord is one line of a target's ledger file: exactly one field is
+// set. A run is written when it starts and again when it ends.
+type TargetRecord struct {
+	Run       *Run       `json:"run,omitempty"`
+	Violation *Violation `json:"violation,omitempty"`
+}
+
+// TargetStats are the counters of one target instance.
+type TargetStats struct {
+	// Bears is how many concurrent requests the target bears now.
+	Bears int `json:"bears"`
+	// Running is how many it runs now, PeakRunning the most it ever ran.
+	Running     int `json:"running"`
+	PeakRunning int `json:"peak_running"`
+	// Connections is how many HTTP connections are open now.
+	Connections int    `json:"connections"`
+	Runs        uint64 `json:"runs"`
+	// Shed counts the requests refused with "not run".
+	Shed uint64 `json:"shed"`
+	// Failed counts the requests that failed because the target was down.
+	Failed    uint64    `json:"failed"`
+	Cancelled uint64    `json:"cancelled"`
+	TimedOut  uint64    `json:"timed_out"`
+	LastRun   time.Time `json:"last_run,omitzero"`
+	// Datagrams counts the datagrams of flow services, Flows their senders.
+	Datagrams uint64 `json:"datagrams"`
+	Flows     int    `json:"flows"`
+	Draining  bool   `json:"draining"`
+	Left      bool   `json:"left"`
+	// Accepted reports whether the agent accepted the last announcement.
+	Accepted bool `json:"accepted"`
+}
+
+// TargetLedger is the whole ledger of one target instance.
+type TargetLedger struct {
+	Target     string      `json:"target"`
+	Instance   string      `json:"instance"`
+	Service    string      `json:"service"`
+	Stats      TargetStats `json:"stats"`
+	Runs       []Run       `json:"runs"`
+	Violations []Violation `json:"violations"`
+}
