Add the reconciliation of callers' and targets' ledgers

Cause: neither side alone can see a duplicated run, a false "not run" or an answer that another request's caller got.

A stream reset in the middle of an answer is lost, not truncated, because its caller knows that it is not whole; the resets are counted.

--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -11,6 +11,7 @@
 
 	"amaranthwheel.example/amaranthwheel/standin/caller"
 	"amaranthwheel.example/amaranthwheel/standin/certs"
+	"amaranthwheel.example/amaranthwheel/standin/reconcile"
 	"amaranthwheel.example/amaranthwheel/standin/target"
 )
 
@@ -22,6 +23,8 @@
 			target.Command(),
 			caller.Command(),
 			certs.Command(),
+			reconcile.Command(),
+			// The store's subcommand, store.Command(), goes here.
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- a/standin/target/ledger.go
+++ b/standin/target/ledger.go
@@ -20,8 +20,9 @@
 	stats      workload.TargetStats
 }
 
-// openLedger opens a ledger that appends to the file, if a path is given.
-func openLedger(path string) (*ledger, error) {
+// openLedger opens the ledger of a target instance, which appends to the file
+// if a path is given.
+func openLedger(path string, start workload.TargetStart) (*ledger, error) {
 	l := &ledger{}
 	if path == "" {
 		return l, nil
@@ -31,7 +32,7 @@
 		return nil, fmt.Errorf("open ledger: %w", err)
 	}
 	l.file = file
-	return l, nil
+	return l, l.write(workload.TargetRecord{Start: &start})
 }
 
 // start records that a run begins and returns its number.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/standin/workload"
 )
 
 // idlePoll is how often a stopping target looks whether its work is done.
@@ -53,7 +54,9 @@
 	if cfg.Instance == "" {
 		cfg.Instance = strconv.FormatInt(now.UnixNano(), 36)
 	}
-	records, err := openLedger(cfg.LedgerFile)
+	records, err := openLedger(cfg.LedgerFile, workload.TargetStart{
+		Target: cfg.Name, Instance: cfg.Instance, Service: cfg.Service, Started: now,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/workload/requests.go
+++ b/standin/workload/requests.go
@@ -24,8 +24,12 @@
 
 // The faults of answers.
 const (
-	AnswerWhole     AnswerFault = ""
+	AnswerWhole AnswerFault = ""
+	// AnswerTruncated is an answer that ended too early as if it were whole.
 	AnswerTruncated AnswerFault = "truncated"
+	// AnswerReset is an answer that was given up halfway, so that its caller
+	// knows that it is not whole.
+	AnswerReset AnswerFault = "reset"
 	// AnswerCrossed is an answer to another request or by another service.
 	AnswerCrossed AnswerFault = "crossed"
 )
@@ -55,6 +59,10 @@
 	Error    string      `json:"error,omitempty"`
 }
 
+// MethodDatagram stands for the method of requests that are datagrams of a
+// flow service. Targets keep no runs of them.
+const MethodDatagram = "DATAGRAM"
+
 // Idempotent reports whether the method may run more than once.
 func Idempotent(method string) bool {
 	return method != "POST" && method != "PATCH"
--- a/standin/workload/runs.go
+++ b/standin/workload/runs.go
@@ -53,11 +53,20 @@
 	Detail string        `json:"detail"`
 }
 
+// TargetStart identifies a target's process instance.
+type TargetStart struct {
+	Target   string    `json:"target"`
+	Instance string    `json:"instance"`
+	Service  string    `json:"service"`
+	Started  time.Time `json:"started"`
+}
+
 // TargetRecord is one line of a target's ledger file: exactly one field is
 // set. A run is written when it starts and again when it ends.
 type TargetRecord struct {
-	Run       *Run       `json:"run,omitempty"`
-	Violation *Violation `json:"violation,omitempty"`
+	Start     *TargetStart `json:"start,omitempty"`
+	Run       *Run         `json:"run,omitempty"`
+	Violation *Violation   `json:"violation,omitempty"`
 }
 
 // TargetStats are the counters of one target instance.
