Mend three rare ways in which two agents held one flow

Now the first acceptance that arrives wins, and a rejection says whether the flow is established at the winner. A home to which less than half of the candidates answer now goes on asking. Ruled out: lost offers; the paused agent's backlog; a wider settle window.

Conclusion: silence is no answer; whoever confirms first keeps the flow.

--- a/internal/agent/front/front.go
+++ b/internal/agent/front/front.go
@@ -97,7 +97,7 @@
 		slots:     make(chan struct{}, opts.MaxRequests),
 		mailboxes: make(map[core.RequestID]chan core.RequestEffect),
 	}
-	f.flows = flowCounter{open: make(map[model.FlowKey]int), decider: opts.Decider, service: opts.Service}
+	f.flows = flowCounter{open: make(map[model.FlowKey][]*quic.Conn), decider: opts.Decider, service: opts.Service}
 	f.target.Store(&Target{})
 	f.server = &http3.Server{Handler: http.HandlerFunc(f.serveCaller), ConnContext: f.flows.connContext}
 	f.handOvers = &http.Server{
--- a/internal/agent/front/listener.go
+++ b/internal/agent/front/listener.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/model"
@@ -25,19 +27,19 @@
 		return nil, err
 	}
 	flow := l.flows.key(conn.RemoteAddr())
-	l.flows.opened(flow)
-	context.AfterFunc(conn.Context(), func() { l.flows.closed(flow) })
+	l.flows.opened(flow, conn)
+	context.AfterFunc(conn.Context(), func() { l.flows.closed(flow, conn) })
 	return conn, nil
 }
 
-// flowCounter counts connections by flow: a caller that connects again from
+// flowCounter knows the connections by flow: a caller that connects again from
 // the same address opens a second connection of one flow.
 type flowCounter struct {
 	decider Decider
 	service model.ServiceID
 
 	mu       sync.Mutex
-	open     map[model.FlowKey]int
+	open     map[model.FlowKey][]*quic.Conn
 	reserved int // connections, those in handshake included
 }
 
@@ -59,25 +61,39 @@
 
 // opened and closed submit under the lock, so that the events of one flow
 // keep their order.
-func (c *flowCounter) opened(flow model.FlowKey) {
+func (c *flowCounter) opened(flow model.FlowKey, conn *quic.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open[flow]++
-	if c.open[flow] == 1 {
+	c.open[flow] = append(c.open[flow], conn)
+	if len(c.open[flow]) == 1 {
 		c.decider.Submit(core.FlowEstablished{Flow: flow})
 	}
 }
 
-func (c *flowCounter) closed(flow model.FlowKey) {
+func (c *flowCounter) closed(flow model.FlowKey, conn *quic.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open[flow]--
-	if c.open[flow] == 0 {
+	c.open[flow] = slices.DeleteFunc(c.open[flow], func(o *quic.Conn) bool { return o == conn })
+	if len(c.open[flow]) == 0 {
 		delete(c.open, flow)
 		c.decider.Submit(core.FlowClosed{Flow: flow})
 	}
 }
 
+// connections returns the open connections of a flow.
+func (c *flowCounter) connections(flow model.FlowKey) []*quic.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.open[flow])
+}
+
+// CloseFlow ends the connections of a flow at once and tells their caller why.
+func (f *Front) CloseFlow(flow model.FlowKey, reason string) {
+	for _, conn := range f.flows.connections(flow) {
+		go func() { _ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), reason) }()
+	}
+}
+
 func (c *flowCounter) key(addr net.Addr) model.FlowKey {
 	var caller netip.AddrPort
 	if udp, ok := addr.(*net.UDPAddr); ok {
--- a/internal/core/directory/messages.go
+++ b/internal/core/directory/messages.go
@@ -114,24 +114,21 @@
 	}})
 }
 
-// offerReply ends an offer, or moves on to the next candidate.
+// offerReply ends an offer, or moves on to the next candidate. The first
+// acceptance that arrives wins, even if the home has moved on from its offer.
 func (c *Controller) offerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.OfferReply) {
 	flow, ok := flowKey(service, m.Flow)
 	if !ok {
 		return
 	}
 	e := c.entries[flow]
-	current := e != nil && e.phase == phaseOffering && e.epoch == m.Epoch && e.offered.node == from.Node
 	switch {
-	case current && m.Accepted:
-		e.expires = t.Now.Add(3 * c.options.RegisterEvery)
-		e.since = t.Now
-		c.found(t, flow, e, from.Node, wire.KindForward, phaseHeld)
-	case current:
+	case m.Accepted:
+		if winner, ok := c.record(t, from, flow, &placementpb.Flow{Since: t.Now.UnixNano()}); !ok {
+			c.reject(t, from, flow, winner)
+		}
+	case e != nil && e.phase == phaseOffering && e.epoch == m.Epoch && e.offered.node == from.Node:
 		c.offerNext(t, flow, e)
-	case m.Accepted && !c.heldBy(flow, from.Node):
-		// A late acceptance: the flow went to another candidate meanwhile.
-		c.reject(t, from, flow)
 	}
 }
 
@@ -140,9 +137,18 @@
 	return e != nil && e.phase == phaseHeld && e.holder == node
 }
 
-func (c *Controller) reject(t *core.Turn, to model.Member, flow model.FlowKey) {
+// rejection names a flow that is another holder's.
+func rejection(flow model.FlowKey, winner bool) *placementpb.Flow {
+	pb := flowMessage(flow)
+	pb.Established = winner
+	return pb
+}
+
+// reject tells an agent that a flow is another holder's, and whether the flow
+// is established there.
+func (c *Controller) reject(t *core.Turn, to model.Member, flow model.FlowKey, winner bool) {
 	c.send(t, to.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_RegisterReply{
-		RegisterReply: &placementpb.RegisterReply{Rejected: []*placementpb.Flow{flowMessage(flow)}},
+		RegisterReply: &placementpb.RegisterReply{Rejected: []*placementpb.Flow{rejection(flow, winner)}},
 	}})
 }
 
@@ -151,8 +157,11 @@
 	reply := &placementpb.RegisterReply{Batch: m.Batch}
 	for _, pb := range m.Flows {
 		flow, ok := flowKey(service, pb)
-		if ok && !c.record(t, from, flow, pb) {
-			reply.Rejected = append(reply.Rejected, pb)
+		if !ok {
+			continue
+		}
+		if winner, ok := c.record(t, from, flow, pb); !ok {
+			reply.Rejected = append(reply.Rejected, rejection(flow, winner))
 		}
 	}
 	c.send(t, from.Data, model.FlowKey{Service: service}, &placementpb.Placement{
@@ -162,41 +171,45 @@
 
 // record takes one registration. It returns false if the flow is another
 // agent's: the first holder known here keeps the flow, unless only the other
-// has completed its handshake.
-func (c *Controller) record(t *core.Turn, from model.Member, flow model.FlowKey, pb *placementpb.Flow) bool {
+// has completed its handshake. It also returns whether the flow is established
+// at the holder that keeps it.
+func (c *Controller) record(t *core.Turn, from model.Member, flow model.FlowKey, pb *placementpb.Flow) (established, ok bool) {
 	if f, ok := c.held[flow]; ok {
 		if f.established || !pb.Established {
-			return false
+			return f.established, false
 		}
 		c.drop(t, flow, "held by another agent")
 	}
 	e := c.entries[flow]
 	if e != nil && e.phase == phaseHeld && e.holder != from.Node {
 		if e.established || !pb.Established {
-			return false
+			return e.established, false
 		}
 		if other, ok := c.member(t, e.holder); ok {
-			c.reject(t, other, flow)
+			c.reject(t, other, flow, true)
 		}
 	}
 	if e == nil {
 		if len(c.entries) >= c.options.MaxEntries {
-			return true
+			return pb.Established, true
 		}
 		e = &entry{}
 		c.entries[flow] = e
 	}
 	e.since = time.Unix(0, pb.Since)
-	e.established = pb.Established
+	e.established = e.phase == phaseHeld && e.established || pb.Established
 	e.expires = t.Now.Add(3 * c.options.RegisterEvery)
 	c.found(t, flow, e, from.Node, wire.KindForward, phaseHeld)
-	return true
+	return e.established, true
 }
 
-// registerReply confirms a batch and drops the flows that are another's.
+// registerReply confirms a batch and drops the flows that are another's. A
+// flow that is established only here stays: the home has not heard of that yet.
 func (c *Controller) registerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.RegisterReply) {
 	for _, pb := range m.Rejected {
-		if flow, ok := flowKey(service, pb); ok && c.held[flow] != nil {
+		flow, ok := flowKey(service, pb)
+		f := c.held[flow]
+		if ok && f != nil && (pb.Established || !f.established) {
 			c.drop(t, flow, "held by another agent")
 		}
 	}
@@ -260,6 +273,9 @@
 	holder := model.NodeID(m.Holder)
 	switch {
 	case holder == "" || holder == t.Board.Self.Member.Node:
+		if _, ok := e.awaiting[from.Node]; ok {
+			e.answered++
+		}
 		delete(e.awaiting, from.Node)
 		if len(e.awaiting) == 0 {
 			c.probed(t, flow, e)
--- a/internal/core/directory/placing.go
+++ b/internal/core/directory/placing.go
@@ -84,6 +84,7 @@
 		}
 	}
 	e.attempts = 0
+	e.probed, e.answered = len(e.awaiting), 0
 	c.sendProbes(t, flow, e)
 }
 
@@ -231,14 +232,22 @@
 			delete(e.awaiting, node)
 		}
 	}
-	// In mode flow a silent candidate may hold the flow, and nothing in the
-	// datagrams would tell; the search waits until it answers or is removed.
-	if v := c.view(t); e.attempts >= c.options.Attempts && v != nil && v.Mode != model.ModeFlow {
+	if e.attempts >= c.options.Attempts && c.maySkipSilent(t, e) {
 		clear(e.awaiting)
 	}
 	c.sendProbes(t, flow, e)
 }
 
+// maySkipSilent reports whether a search may end without the candidates that
+// stay silent. In mode flow one of them may hold the flow, and nothing in the
+// datagrams would tell, so the search waits until it answers or is removed. In
+// mode request the flow is new to its caller; but a home to which less than half
+// of the candidates answer may itself be the one that the others ignore.
+func (c *Controller) maySkipSilent(t *core.Turn, e *entry) bool {
+	v := c.view(t)
+	return v != nil && v.Mode != model.ModeFlow && 2*e.answered >= e.probed
+}
+
 func (c *Controller) retryOffer(t *core.Turn, flow model.FlowKey, e *entry) {
 	if e.attempts < c.options.Attempts {
 		c.sendOffer(t, flow, e)
--- a/internal/core/directory/state.go
+++ b/internal/core/directory/state.go
@@ -45,8 +45,10 @@
 	pending [][]byte
 	opens   bool
 
-	// awaiting are the candidates whose probe replies are missing.
-	awaiting map[model.NodeID]netip.AddrPort
+	// awaiting are the candidates whose probe replies are missing; probed and
+	// answered count the candidates asked and those that knew no holder.
+	awaiting         map[model.NodeID]netip.AddrPort
+	probed, answered int
 	// choices are the candidates still to be offered the flow.
 	choices  []target
 	offered  target
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -53,8 +53,12 @@
 type LoadStore struct{ Since uint64 }
 
 // WatchStore turns the watch over the store's version key on or off. While it
-// is on, the process sends StoreLoaded whenever the version has risen.
-type WatchStore struct{ On bool }
+// is on, the process sends StoreLoaded whenever the version has risen above
+// After.
+type WatchStore struct {
+	On    bool
+	After uint64
+}
 
 // Log reports something that operators want to know.
 type Log struct {
--- a/internal/core/fleet/changes.go
+++ b/internal/core/fleet/changes.go
@@ -91,20 +91,19 @@
 	object := model.Object{Key: key, Version: f.config.Version, DomainState: &model.DomainState{Name: domainName(i), Out: out}}
 	f.config.Objects[key] = object
 	for _, a := range f.Agents {
-		f.at(f.someTime(f.options.Spread), func() { f.configure(a.node, object, a.Member.Domain == domainName(i), out) })
+		f.at(f.someTime(f.options.Spread), func() { f.configure(a.node, object) })
 	}
 	for _, b := range f.Balancers {
-		f.at(f.someTime(f.options.Spread), func() { f.configure(b.node, object, false, out) })
+		f.at(f.someTime(f.options.Spread), func() { f.configure(b.node, object) })
 	}
 }
 
-func (f *Fleet) configure(n *core.Node, object model.Object, own, out bool) {
+// configure hands a node an object. Objects may arrive in any order.
+func (f *Fleet) configure(n *core.Node, object model.Object) {
 	board := n.Board()
 	board.Config.Current.Merge(object.Version, []model.Object{object})
 	board.Config.Generation++
-	if own {
-		board.Self.Out = out
-	}
+	board.Self.Out = board.Config.Current.DomainOut(board.Self.Member.Domain)
 	if board.Self.Member.Role == model.RoleBalancer {
 		n.Step(f.now, core.Tick{})
 	}
