Keep the configuration in the store under one compared version

One key for each object, one version key and 500 history records. Apply reads the version, the change's own key and the record that expires, then writes everything in one transaction that compares the version key's revision and requires that the change's key does not exist. So a change is applied at most once, on whatever base it is submitted again, and an attempt that is still on its way can never take effect after another change has. When time runs out, Apply says "not applied" only if no write was sent, and *UnresolvedError otherwise. Watch renews itself every 1 to 2 minutes, since a connection that died in silence reports nothing.

Ruled out: splitting a large change, as it would no longer be atomic; *TooLargeError tells how many changes it takes. Resolving a lost answer by the history record alone, as the same change submitted again on a newer base would run twice. Watching from the version key's own revision, as etcd may have compacted it; the revision of the last read is used.

Mechanisms switched off, one at a time: compare on the version -> --- FAIL: TestRaceHasOneWinner (7 of 8 losers won) read-back by change ID -> --- FAIL: TestLostAnswerIsResolved, TestLostAnswerThenOtherChange ("change was made against version 0 ...") change key -> --- FAIL: TestSameIDOnOtherBaseIsNotAppliedAgain (applied again at version 3) jitter -> --- FAIL: TestReturnOfTheStoreWithoutStampede Virtual time, 60 balancers after an outage of 10 min, most calls in 100 ms: without jitter 60 while down and 120 at the return; with it 6 and 10, the last balancer back after 6.5 s, 12.5 calls/s on average.

A first form of TestRaceHasOneWinner passed with the compare off, because the racers rarely overlapped; it now lets all read before any writes.

--- /dev/null
+++ b/internal/configstore/client.go
@@ -0,0 +1,113 @@
+package configstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+// Client reads and changes the configuration of one cluster. It is safe for
+// concurrent use.
+type Client struct {
+	// WatchFailed, if set before Watch, is told of every failure that Watch
+	// recovers from.
+	WatchFailed func(error)
+
+	kv    store.Store
+	keys  keys
+	retry retryPolicy
+
+	mu sync.Mutex
+	// loaded is what the last Load has seen.
+	loaded position
+}
+
+// position is a version, with a state of the store at which it was current.
+// Revision 0 is not known.
+type position struct {
+	version  uint64
+	revision store.Revision
+}
+
+// New returns a client for the cluster's configuration.
+func New(kv store.Store, cluster string) *Client {
+	return &Client{kv: kv, keys: newKeys(cluster), retry: defaultRetry}
+}
+
+// Snapshot is a consistent read of the configuration.
+type Snapshot struct {
+	// Version is the version at which the read was consistent.
+	Version uint64
+	// Objects are those that changed after the version asked for, tombstones
+	// included.
+	Objects []model.Object
+}
+
+// Load reads the objects that changed after a version, and all of them since
+// version 0, in one transaction. It does not retry: it fails with
+// store.ErrUnavailable, or with a *CorruptError.
+func (c *Client) Load(ctx context.Context, since uint64) (Snapshot, error) {
+	from := position{version: since}
+	c.mu.Lock()
+	if c.loaded.version == since {
+		from = c.loaded
+	}
+	c.mu.Unlock()
+	snapshot, at, err := c.read(ctx, from)
+	if err != nil {
+		return Snapshot{}, oops.In("configstore").Wrapf(err, "load the configuration")
+	}
+	c.mu.Lock()
+	c.loaded = at
+	c.mu.Unlock()
+	return snapshot, nil
+}
+
+// read returns what has changed since a position, and the new position. A
+// known revision spares reading the objects that were written before it.
+func (c *Client) read(ctx context.Context, from position) (Snapshot, position, error) {
+	objects := store.Prefix(c.keys.objects())
+	if from.revision > 0 {
+		objects.MinModRevision = from.revision + 1
+	}
+	version := store.Range{Key: c.keys.version()}
+	result, err := c.kv.Txn(ctx, store.Txn{Ops: []store.Op{version, objects}})
+	if err != nil {
+		return Snapshot{}, position{}, err
+	}
+	if result.Revision < from.revision {
+		// The store was restored to an older state, so that the revision
+		// filter hid objects.
+		return c.read(ctx, position{version: from.version})
+	}
+	return c.decodeSnapshot(result, from.version)
+}
+
+func (c *Client) decodeSnapshot(result store.TxnResult, since uint64) (Snapshot, position, error) {
+	version, err := decodeVersion(result.Ranges[0])
+	if err != nil {
+		return Snapshot{}, position{}, err
+	}
+	objects, err := c.keys.decodeObjects(result.Ranges[1], since)
+	if err != nil {
+		return Snapshot{}, position{}, err
+	}
+	return Snapshot{Version: version, Objects: objects}, position{version, result.Revision}, nil
+}
+
+// sleep waits, or returns the context's cause if it ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/configstore/state.go
@@ -0,0 +1,66 @@
+package configstore
+
+import (
+	"context"
+
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+// state is what a submission needs to know of the store, read in one
+// transaction.
+type state struct {
+	version uint64
+	// revision is that of the version key, 0 if there is none yet.
+	revision store.Revision
+	// appliedAt is the version at which the change was applied, 0 if it was
+	// not.
+	appliedAt uint64
+	// winners are the changes accepted since the base.
+	winners []Record
+	// expired is the record that the new one pushes out of the history.
+	expired *Record
+}
+
+func (s *submission) readState(ctx context.Context) (state, error) {
+	k := s.client.keys
+	winners := k.recordsFrom(s.base + 1)
+	winners.Limit = maxWinners
+	ops := []store.Op{
+		store.Range{Key: k.version()},
+		store.Range{Key: k.change(s.record.Change.ID)},
+		winners,
+	}
+	if s.record.Version > HistoryLimit {
+		ops = append(ops, store.Range{Key: k.record(s.record.Version - HistoryLimit)})
+	}
+	result, err := s.client.kv.Txn(ctx, store.Txn{Ops: ops})
+	if err != nil {
+		return state{}, err
+	}
+	return decodeState(result.Ranges)
+}
+
+func decodeState(ranges []store.RangeResult) (state, error) {
+	var st state
+	var err error
+	if st.version, err = decodeVersion(ranges[0]); err != nil {
+		return st, err
+	}
+	if len(ranges[0].KVs) > 0 {
+		st.revision = ranges[0].KVs[0].ModRevision
+	}
+	if st.appliedAt, err = decodeVersion(ranges[1]); err != nil {
+		return st, err
+	}
+	if st.winners, err = decodeRecords(ranges[2]); err != nil {
+		return st, err
+	}
+	if len(ranges) < 4 {
+		return st, nil
+	}
+	expired, err := decodeRecords(ranges[3])
+	if len(expired) > 0 {
+		st.expired = &expired[0]
+	}
+	return st, err
+}
--- /dev/null
+++ b/internal/configstore/watch_test.go
@@ -0,0 +1,178 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/store"
+	standin "amaranthwheel.example/amaranthwheel/standin/store"
+)
+
+// startWatch runs a watch until the test ends and returns its snapshots and
+// failures.
+func startWatch(t *testing.T, c *Client) (<-chan Snapshot, <-chan error) {
+	t.Helper()
+	snapshots := make(chan Snapshot, 100)
+	failures := make(chan error, 1000)
+	c.WatchFailed = func(err error) { failures <- err }
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- c.Watch(ctx, 0, func(s Snapshot) { snapshots <- s }) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("watch returned %v", err)
+		}
+	})
+	return snapshots, failures
+}
+
+// waitFor polls until the condition holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s in time", what)
+		}
+	}
+}
+
+func TestWatchResumesAfterDropAndOutage(t *testing.T) {
+	server, client := newServer(t, testTimeout)
+	writer := client()
+	snapshots, _ := startWatch(t, client())
+	faults := []func(){
+		func() { waitFor(t, "watch", func() bool { return server.Watches() == 1 }) },
+		server.DropWatches,
+		func() { server.SetFaults(standin.Faults{Down: true}) },
+		func() { server.SetFaults(standin.Faults{SlowMS: 150}) },
+	}
+	for v, fault := range faults {
+		fault()
+		time.Sleep(20 * time.Millisecond)
+		server.SetFaults(standin.Faults{})
+		mustApply(t, writer, uint64(v), domainOut(fmt.Sprint("change-", v), fmt.Sprint("domain-", v)))
+		got := <-snapshots
+		if got.Version != uint64(v+1) || len(got.Objects) != 1 || got.Objects[0].Version != got.Version {
+			t.Errorf("after fault %d: %+v", v, got)
+		}
+	}
+}
+
+func TestWatchedVersionNeverFalls(t *testing.T) {
+	_, client := newServer(t, testTimeout)
+	writer := client()
+	for v := range uint64(3) {
+		mustApply(t, writer, v, domainOut(fmt.Sprint("change-", v), "a"))
+	}
+	snapshots, failures := startWatch(t, client())
+	if got := <-snapshots; got.Version != 3 {
+		t.Fatalf("first: %+v", got)
+	}
+	writeVersion := func(v uint64) {
+		put := store.Put{Key: writer.keys.version(), Value: formatVersion(v)}
+		if _, err := writer.kv.Txn(t.Context(), store.Txn{Ops: []store.Op{put}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writeVersion(1)
+	var stale *StaleStoreError
+	for err := range failures {
+		if errors.As(err, &stale) {
+			break
+		}
+	}
+	if stale.Held != 3 || stale.Found != 1 {
+		t.Errorf("failure: %v", stale)
+	}
+	writeVersion(4)
+	if got := <-snapshots; got.Version != 4 {
+		t.Errorf("after the fall: %+v", got)
+	}
+}
+
+// virtualStore is an empty store that is down until a time, and notes when it
+// is called.
+type virtualStore struct {
+	store.Store
+	downUntil time.Time
+	mu        sync.Mutex
+	calls     []time.Time
+}
+
+func (v *virtualStore) call() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls = append(v.calls, time.Now())
+	if time.Now().Before(v.downUntil) {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (v *virtualStore) Txn(context.Context, store.Txn) (store.TxnResult, error) {
+	return store.TxnResult{Revision: 1, Ranges: make([]store.RangeResult, 2)}, v.call()
+}
+
+func (v *virtualStore) Watch(ctx context.Context, _ string, _ store.Revision, _ func(store.Event)) error {
+	if err := v.call(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return store.ErrWatchEnded
+}
+
+// busiest returns the most calls in one bucket of the span between two times.
+func (v *virtualStore) busiest(from, to time.Time, bucket time.Duration) int {
+	count := make(map[int64]int)
+	most := 0
+	for _, at := range v.calls {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		b := at.Sub(from).Nanoseconds() / bucket.Nanoseconds()
+		count[b]++
+		most = max(most, count[b])
+	}
+	return most
+}
+
+// TestReturnOfTheStoreWithoutStampede lets 60 balancers lose the store at the
+// same moment, in virtual time, and counts their calls when it returns.
+func TestReturnOfTheStoreWithoutStampede(t *testing.T) {
+	const (
+		balancers = 60
+		outage    = 10 * time.Minute
+		bucket    = 100 * time.Millisecond
+		// mostCalls is a sixth of the balancers, at two calls each.
+		mostCalls = balancers / 6 * 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		kv := &virtualStore{downUntil: start.Add(outage)}
+		ctx, cancel := context.WithCancel(t.Context())
+		for range balancers {
+			go func() { _ = New(kv, "test").Watch(ctx, 0, func(Snapshot) {}) }()
+		}
+		time.Sleep(outage + 30*time.Second)
+		cancel()
+		synctest.Wait()
+
+		during := kv.busiest(start.Add(time.Minute), kv.downUntil, bucket)
+		after := kv.busiest(kv.downUntil, kv.downUntil.Add(30*time.Second), bucket)
+		last := kv.calls[len(kv.calls)-1].Sub(kv.downUntil)
+		rate := float64(len(kv.calls)) / outage.Seconds()
+		t.Logf("most calls in %v: %d down, %d at the return; all back after %v; %.1f calls/s on average", bucket, during, after, last, rate)
+		if during > mostCalls || after > mostCalls {
+			t.Errorf("stampede: %d calls in %v while down, %d at the return", during, bucket, after)
+		}
+		if last > defaultRetry.longest*3/2 {
+			t.Errorf("the last balancer is back after %v", last)
+		}
+	})
+}
