Add logs, metrics and traces for the daemons

Module and WithLogger wire them into fx and log only fx's failures.

Ruled out: Prometheus's default registry, as two processes' metrics in one test process would clash.

--- /dev/null
+++ b/internal/obs/doc.go
@@ -0,0 +1,3 @@
+// Package obs lets operators see what a process does: its log lines, metrics
+// and traces.
+package obs
--- /dev/null
+++ b/internal/obs/module.go
@@ -0,0 +1,93 @@
+package obs
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+// Options configures a Module.
+type Options struct {
+	// Role names the kind of process in metrics and traces, such as
+	// "balancer".
+	Role string
+	// LogWriter receives the log lines.
+	LogWriter io.Writer
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// TraceFile receives the traces; "" is off, "-" is standard output.
+	TraceFile string
+}
+
+// Module provides *Logs, *Metrics and tally.Scope, runs tracing for the life
+// of the application and logs fx's own failures.
+func Module(o Options) fx.Option {
+	return fx.Module("obs",
+		fx.Provide(
+			func() *Logs { return NewLogs(o.LogWriter, o.LogLevel) },
+			func(lc fx.Lifecycle, logs *Logs) *Metrics { return provideMetrics(lc, logs, o.Role) },
+			func(m *Metrics) tally.Scope { return m.Scope },
+		),
+		fx.Invoke(func(lc fx.Lifecycle) { runTracing(lc, o) }),
+	)
+}
+
+// WithLogger logs the failures of fx to the part "fx". It stands beside
+// Module, because fx takes its logger only at the top.
+func WithLogger() fx.Option {
+	return fx.WithLogger(func(logs *Logs) fxevent.Logger { return failureLogger{logs.Part("fx")} })
+}
+
+func provideMetrics(lc fx.Lifecycle, logs *Logs, role string) *Metrics {
+	m := NewMetrics(role, logs.Part("metrics"))
+	lc.Append(fx.StopHook(m.Close))
+	return m
+}
+
+func runTracing(lc fx.Lifecycle, o Options) {
+	var shutdown Shutdown
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			var err error
+			shutdown, err = Setup(metricPrefix+"-"+o.Role, o.TraceFile)
+			return err
+		},
+		OnStop: func(ctx context.Context) error { return shutdown(ctx) },
+	})
+}
+
+// failureLogger logs those events of fx that report an error.
+type failureLogger struct{ logger log.Logger }
+
+// LogEvent implements fxevent.Logger.
+func (l failureLogger) LogEvent(event fxevent.Event) {
+	what, err := failure(event)
+	if err == nil {
+		return
+	}
+	_ = level.Error(l.logger).Log("msg", what, "err", err)
+}
+
+// failure returns what has failed and why, or a nil error.
+func failure(event fxevent.Event) (string, error) {
+	switch e := event.(type) {
+	case *fxevent.Provided:
+		return "A constructor could not be provided.", e.Err
+	case *fxevent.Invoked:
+		return "An invoked function failed.", e.Err
+	case *fxevent.OnStartExecuted:
+		return "A start hook failed.", e.Err
+	case *fxevent.OnStopExecuted:
+		return "A stop hook failed.", e.Err
+	case *fxevent.Started:
+		return "The process could not start.", e.Err
+	case *fxevent.Stopped:
+		return "The process did not stop cleanly.", e.Err
+	}
+	return "", nil
+}
