--- a/internal/configstore/watch_test.go
+++ b/internal/configstore/watch_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// TestCallsOfAChange checks the number of calls that the package states.
+func TestCallsOfAChange(t *testing.T) {
+	server, client := newServer(t, time.Second)
+	snapshots, _ := startWatch(t, client())
+	waitFor(t, "watch", func() bool { return server.Watches() == 1 })
+	if got, want := server.Counts(), (standin.Counts{Txn: 1, Watch: 1}); got != want {
+		t.Errorf("start of a watch: %+v, want %+v", got, want)
+	}
+	mustApply(t, client(), 0, domainOut("first", "a"))
+	<-snapshots
+	if got, want := server.Counts(), (standin.Counts{Txn: 1 + 2 + 1, Watch: 1}); got != want {
+		t.Errorf("after one change: %+v, want %+v", got, want)
+	}
+}
+
 func TestWatchedVersionNeverFalls(t *testing.T) {
 	_, client := newServer(t, testTimeout)
 	writer := client()
