--- a/standin/caller/config.go
+++ b/standin/caller/config.go
@@ -50,6 +50,9 @@
 	Timeout time.Duration
 	// LateAfter is the time after which an answer counts as late.
 	LateAfter time.Duration
+	// StrictMoves breaks a flow whose target changes also when the agent has
+	// declared that it handed the request over.
+	StrictMoves bool
 	// KeepAlive and IdleTimeout are those of QUIC. A flow of datagrams that
 	// gets no answer for IdleTimeout is broken.
 	KeepAlive   time.Duration
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -74,6 +74,7 @@
 	defer resp.Body.Close()
 	r.Status = resp.StatusCode
 	r.Target = resp.Header.Get(workload.HeaderTarget)
+	r.AgentTarget = resp.Header.Get(workload.HeaderAgentTarget)
 	r.AnswerID = resp.Header.Get(workload.HeaderRequestID)
 	digest, err := workload.DigestOf(resp.Body)
 	if resp.StatusCode != http.StatusOK {
--- a/standin/reconcile/reconcile.go
+++ b/standin/reconcile/reconcile.go
@@ -147,6 +147,9 @@
 	if service, known := c.targets.Services[r.Target]; known && service != r.Service {
 		c.report.add(KindCrossService, r.ID, "%s of %s answered a request to %s", r.Target, service, r.Service)
 	}
+	if r.AgentTarget != "" && r.AgentTarget != r.Target {
+		c.report.add(KindCrossed, r.ID, "the agent says %s answered, the target says %s", r.AgentTarget, r.Target)
+	}
 	if r.Method == workload.MethodDatagram {
 		if r.Answer != r.Body {
 			c.report.add(KindCrossed, r.ID, "echo differs from the datagram")
--- a/standin/reconcile/reconcile_test.go
+++ b/standin/reconcile/reconcile_test.go
@@ -109,6 +109,9 @@
 		{"crossed answer that the caller saw", func(s *scene) {
 			s.caller.Requests[4].Fault = workload.AnswerCrossed
 		}, KindCrossed, "r-5"},
+		{"answer of another target than the agent says", func(s *scene) {
+			s.caller.Requests[0].AgentTarget = "mast-2"
+		}, KindCrossed, "r-1"},
 		{"truncated answer that the caller took", func(s *scene) {
 			s.caller.Requests[0].Answer = workload.AnswerDigest("r-1", "lease-desk", 299)
 		}, KindTruncated, "r-1"},
--- a/standin/workload/requests.go
+++ b/standin/workload/requests.go
@@ -55,8 +55,10 @@
 	AnswerID string      `json:"answer_id,omitempty"`
 	Answer   Digest      `json:"answer,omitzero"`
 	Fault    AnswerFault `json:"fault,omitempty"`
-	Target   string      `json:"target,omitempty"`
-	Error    string      `json:"error,omitempty"`
+	// Target is the target in its own words, AgentTarget in the agent's.
+	Target      string `json:"target,omitempty"`
+	AgentTarget string `json:"agent_target,omitempty"`
+	Error       string `json:"error,omitempty"`
 }
 
 // MethodDatagram stands for the method of requests that are datagrams of a
@@ -73,6 +75,9 @@
 	From string    `json:"from"`
 	To   string    `json:"to"`
 	At   time.Time `json:"at"`
+	// Declared reports whether the agent named the new target itself: it kept
+	// the caller's connection and handed the request over.
+	Declared bool `json:"declared"`
 	// Allowed reports whether the scenario had allowed moves from From.
 	Allowed bool `json:"allowed"`
 }
