Run the store stand-in from the standin command

Cause: the store stand-in has landed; scripts need it as a process that stops on SIGTERM like the others.

Ruled out: a signal handler in each subcommand; main now ends the context of all of them.

--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -97,10 +95,8 @@
 	return nil
 }
 
-// run puts the load on until it is bounded or the process is told to stop.
+// run puts the load on until it is bounded or the context ends.
 func run(ctx context.Context, cfg Config) error {
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	c, err := New(cfg, log.With(logger, "ts", log.DefaultTimestampUTC))
 	if err != nil {
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -6,12 +6,15 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"amaranthwheel.example/amaranthwheel/standin/caller"
 	"amaranthwheel.example/amaranthwheel/standin/certs"
 	"amaranthwheel.example/amaranthwheel/standin/reconcile"
+	"amaranthwheel.example/amaranthwheel/standin/store"
 	"amaranthwheel.example/amaranthwheel/standin/target"
 )
 
@@ -24,10 +27,12 @@
 			caller.Command(),
 			certs.Command(),
 			reconcile.Command(),
-			// The store's subcommand, store.Command(), goes here.
+			store.Command(),
 		},
 	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/standin/target/command.go
+++ b/standin/target/command.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,7 +11,7 @@
 	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
-// Command returns the subcommand that runs one target until SIGTERM.
+// Command returns the subcommand that runs one target until its context ends.
 func Command() *cli.Command {
 	var cfg Config
 	var mode string
@@ -48,10 +46,8 @@
 	}
 }
 
-// run serves until the process is told to stop.
+// run serves until the context ends.
 func run(ctx context.Context, cfg Config) error {
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	t, err := Start(cfg, log.With(logger, "ts", log.DefaultTimestampUTC))
 	if err != nil {
