--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -65,6 +65,7 @@
 		&cli.DurationFlag{Name: "timeout", Usage: "bound on one request, and on opening a flow", Value: 5 * time.Second, Destination: &cfg.Timeout},
 		&cli.DurationFlag{Name: "late-after", Usage: "time after which an answer is late", Value: time.Second, Destination: &cfg.LateAfter},
 		&cli.BoolFlag{Name: "strict-moves", Usage: "break flows also on moves that the agent declared", Destination: &cfg.StrictMoves},
+		&cli.BoolFlag{Name: "allow-go-away", Usage: "flows that end by GOAWAY are not broken", Destination: &cfg.AllowGoAway},
 		&cli.DurationFlag{Name: "keep-alive", Usage: "period of QUIC keep-alives", Value: 5 * time.Second, Destination: &cfg.KeepAlive},
 		&cli.DurationFlag{Name: "idle-timeout", Usage: "silence that ends a flow", Value: 30 * time.Second, Destination: &cfg.IdleTimeout},
 		&cli.FloatFlag{Name: "post-share", Usage: "share of non-idempotent requests", Value: 0.3, Destination: &cfg.PostShare},
--- a/standin/caller/config.go
+++ b/standin/caller/config.go
@@ -53,6 +53,9 @@
 	// StrictMoves breaks a flow whose target changes also when the agent has
 	// declared that it handed the request over.
 	StrictMoves bool
+	// AllowGoAway lets an agent end established flows by HTTP/3's GOAWAY, after
+	// which their sessions go on as new flows.
+	AllowGoAway bool
 	// KeepAlive and IdleTimeout are those of QUIC. A flow of datagrams that
 	// gets no answer for IdleTimeout is broken.
 	KeepAlive   time.Duration
--- a/standin/caller/datagrams.go
+++ b/standin/caller/datagrams.go
@@ -193,5 +193,5 @@
 		r.Outcome = workload.RequestLost
 		f.caller.recorder.done(r)
 	}
-	f.caller.recorder.closeFlow(f.id, f.broken, now)
+	f.caller.recorder.closeFlow(f.id, flowEnd{cause: f.broken}, now)
 }
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -18,6 +19,10 @@
 // errCancelled ends a request that the caller gives up.
 var errCancelled = errors.New("cancelled by the caller")
 
+// errTextGoAway is the text of http3's unexported error for a request that it
+// does not send because of a GOAWAY.
+const errTextGoAway = "connection in graceful shutdown"
+
 // exchange sends a planned request on a session, reads and checks the whole
 // answer and records the outcome.
 func (s *session) exchange(ctx context.Context, p plan) workload.Request {
@@ -114,6 +119,8 @@
 		r.Error = context.Cause(ctx).Error()
 	case errors.As(err, &h3) && h3.ErrorCode == http3.ErrCodeRequestRejected:
 		r.Outcome = workload.RequestRefused // RFC 9114: the request was not processed
+	case strings.Contains(r.Error, errTextGoAway):
+		r.Outcome = workload.RequestRefused // no byte of it was sent
 	default:
 		r.Outcome = workload.RequestLost
 	}
--- a/standin/caller/session.go
+++ b/standin/caller/session.go
@@ -73,11 +73,20 @@
 	defer close(s.watched)
 	ctx := s.conn.Context()
 	<-ctx.Done()
-	cause := ""
+	var end flowEnd
 	if !s.closing.Load() {
-		cause = context.Cause(ctx).Error()
+		cause := context.Cause(ctx)
+		end = flowEnd{cause: cause.Error(), goAway: closedOnGoAway(cause)}
 	}
-	s.caller.recorder.closeFlow(s.flow, cause, time.Now())
+	s.caller.recorder.closeFlow(s.flow, end, time.Now())
+}
+
+// closedOnGoAway reports whether the HTTP/3 client has closed the connection
+// by itself, which it does without an error only after a GOAWAY.
+func closedOnGoAway(cause error) bool {
+	var closed *quic.ApplicationError
+	return errors.As(cause, &closed) && !closed.Remote &&
+		closed.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError)
 }
 
 // alive reports whether the connection is open.
--- a/standin/internal/fakeagent/fakeagent.go
+++ b/standin/internal/fakeagent/fakeagent.go
@@ -4,6 +4,7 @@
 package fakeagent
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -64,6 +65,10 @@
 // Port returns the bound port.
 func (a *Agent) Port() uint16 { return a.socket.LocalAddr().(*net.UDPAddr).AddrPort().Port() }
 
+// Shutdown sends GOAWAY on all connections, waits until they are closed and
+// refuses new ones.
+func (a *Agent) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
+
 // Close ends all connections.
 func (a *Agent) Close() {
 	a.server.Close()
--- a/standin/workload/requests.go
+++ b/standin/workload/requests.go
@@ -97,6 +97,9 @@
 	// Established is set by the first whole answer.
 	Established bool   `json:"established"`
 	Moves       []Move `json:"moves,omitempty"`
+	// GoAway reports that the agent asked the caller to leave, by HTTP/3's
+	// GOAWAY.
+	GoAway bool `json:"go_away,omitempty"`
 	// Broken is the cause, if an established flow ended other than by its
 	// caller or moved without being allowed to.
 	Broken string `json:"broken,omitempty"`
@@ -131,8 +134,10 @@
 	Refused  int `json:"refused"`
 	Unknown  int `json:"unknown"`
 	Lost     int `json:"lost"`
-	// BrokenFlows and Moves count flows and changes of target.
+	// BrokenFlows counts broken flows, GoAways those that ended by GOAWAY,
+	// Moves the changes of target.
 	BrokenFlows int `json:"broken_flows"`
+	GoAways     int `json:"go_aways"`
 	Moves       int `json:"moves"`
 	// Pending counts requests still under way; they are not yet in Sent.
 	Pending int `json:"pending"`
