Add a relay that cuts one link, and a chart of service over time

Cause: a store that is down for all does not show one node cut off from it; and the measures need service over time out of the callers' ledgers.

Ruled out: isolation tools of the host, which the tests must not use; a cut that closes connections, because peers notice that at once. The relay holds the bytes back instead.

--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -13,7 +13,9 @@
 
 	"amaranthwheel.example/amaranthwheel/standin/caller"
 	"amaranthwheel.example/amaranthwheel/standin/certs"
+	"amaranthwheel.example/amaranthwheel/standin/chart"
 	"amaranthwheel.example/amaranthwheel/standin/reconcile"
+	"amaranthwheel.example/amaranthwheel/standin/relay"
 	"amaranthwheel.example/amaranthwheel/standin/store"
 	"amaranthwheel.example/amaranthwheel/standin/target"
 )
@@ -27,6 +29,8 @@
 			caller.Command(),
 			certs.Command(),
 			reconcile.Command(),
+			chart.Command(),
+			relay.Command(),
 			store.Command(),
 		},
 	}
--- a/standin/scenario/condition.go
+++ b/standin/scenario/condition.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -148,7 +149,9 @@
 		return nil, err
 	}
 	return func() error {
-		cmd := exec.Command(path, line[1:]...)
+		ctx, cancel := context.WithTimeout(context.Background(), programLimit)
+		defer cancel()
+		cmd := exec.CommandContext(ctx, path, line[1:]...)
 		cmd.Dir = ts.MkAbs(".")
 		cmd.Env = environment(ts)
 		out, err := cmd.CombinedOutput()
--- a/standin/scenario/operatorcmds.go
+++ b/standin/scenario/operatorcmds.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -98,13 +99,15 @@
 // runRace runs the command lines at the same time. Its error is that a program
 // does not exist.
 func runRace(ts *testscript.TestScript, racers []racer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), programLimit)
+	defer cancel()
 	cmds := make([]*exec.Cmd, len(racers))
 	for i := range racers {
 		path, err := lookPath(racers[i].line[0], ts.Getenv("PATH"))
 		if err != nil {
 			return err
 		}
-		cmds[i] = exec.Command(path, racers[i].line[1:]...)
+		cmds[i] = exec.CommandContext(ctx, path, racers[i].line[1:]...)
 		cmds[i].Dir = ts.MkAbs(".")
 		cmds[i].Env = environment(ts)
 	}
--- a/standin/scenario/process.go
+++ b/standin/scenario/process.go
@@ -21,6 +21,8 @@
 	readyLimit = 15 * time.Second
 	// readyPoll is how often the address is tried.
 	readyPoll = 20 * time.Millisecond
+	// programLimit bounds a program that a command waits for.
+	programLimit = time.Minute
 	// tailLines is how much of each log is shown after a failure.
 	tailLines = 15
 )
