--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -209,19 +209,75 @@
 	}
 }
 
-func TestOnlyAllowedMovesKeepFlows(t *testing.T) {
+func TestGoAwayBreaksFlowsUnlessAllowed(t *testing.T) {
 	t.Parallel()
-	for _, allowed := range []string{"", "mast-1", "*"} {
-		r := newRecorder(time.Second, time.Now())
-		r.allowMoves(allowed)
+	for _, allowed := range []bool{false, true} {
+		b := newBench(t, model.ModeRequest, nil)
+		b.caller.ShortRate, b.caller.Sessions, b.caller.MaxRequests = 0, 2, 100_000
+		b.caller.Timeout = time.Second
+		b.caller.AllowGoAway = allowed
+		c := b.newCaller(t)
+		counts := during(t, c, func() {
+			await(c, func(now workload.Counts) bool { return now.Answered > 20 && now.OpenFlows == 2 })
+			if err := b.agent.Shutdown(context.Background()); err != nil {
+				t.Error(err)
+			}
+			await(c, func(now workload.Counts) bool { return now.GoAways == 2 })
+		}).Counts
+		if broken := counts.BrokenFlows == 2; counts.GoAways != 2 || broken == allowed {
+			t.Errorf("GOAWAY allowed %t: counts %+v", allowed, counts)
+		}
+	}
+}
+
+func TestRequestsHeldBackByGoAwayAreRefused(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, model.ModeRequest, nil)
+	c := b.newCaller(t)
+	s, err := c.open(context.Background(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	first := make(chan workload.Request, 1)
+	go func() {
+		first <- s.exchange(context.Background(), plan{method: "GET", size: 10, work: time.Second})
+	}()
+	await(c, func(workload.Counts) bool { return b.target.Ledger().Stats.Running == 1 })
+	go b.agent.Shutdown(context.Background())
+	var held workload.Request
+	await(c, func(workload.Counts) bool {
+		held = s.exchange(context.Background(), plan{method: "GET", size: 10})
+		return held.Outcome != workload.RequestAnswered
+	})
+	if held.Outcome != workload.RequestRefused || held.Status != 0 {
+		t.Errorf("request after GOAWAY: %+v, want it refused without a status", held)
+	}
+	if r := <-first; r.Outcome != workload.RequestAnswered {
+		t.Errorf("request before GOAWAY: %+v, want it answered", r)
+	}
+}
+
+func TestOnlyDeclaredOrAllowedMovesKeepFlows(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		allowed, declared string
+		strict, broken    bool
+	}{
+		{"", "", false, true}, {"mast-2", "", false, true}, {"mast-1", "", false, false}, {"*", "", false, false},
+		{"", "mast-2", false, false}, {"", "mast-1", false, true}, {"", "mast-2", true, true}, {"mast-1", "mast-2", true, false},
+	}
+	for _, tc := range cases {
+		r := newRecorder(time.Second, flowRules{strictMoves: tc.strict}, time.Now())
+		r.allowMoves(tc.allowed)
 		r.openFlow(workload.Flow{ID: "f"})
 		for _, name := range []string{"mast-1", "mast-1", "mast-2"} {
 			r.sent(time.Now())
-			r.done(workload.Request{Flow: "f", Target: name, Outcome: workload.RequestAnswered})
+			r.done(workload.Request{Flow: "f", Target: name, AgentTarget: tc.declared, Outcome: workload.RequestAnswered})
 		}
 		counts := r.counts()
-		if broken := counts.BrokenFlows == 1; broken != (allowed == "") || counts.Moves != 1 {
-			t.Errorf("moves from %q allowed: counts %+v", allowed, counts)
+		if broken := counts.BrokenFlows == 1; broken != tc.broken || counts.Moves != 1 {
+			t.Errorf("%+v: counts %+v", tc, counts)
 		}
 	}
 }
@@ -277,7 +333,7 @@
 func TestWorstStall(t *testing.T) {
 	t.Parallel()
 	start := time.Unix(0, 0)
-	r := newRecorder(time.Second, start)
+	r := newRecorder(time.Second, flowRules{}, start)
 	for _, second := range []int{1, 2, 6, 7} {
 		at := start.Add(time.Duration(second) * time.Second)
 		r.sent(at)
--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -66,6 +64,8 @@
 		&cli.IntFlag{Name: "max-requests", Usage: "bound on the number of requests", Value: 100_000, Destination: &cfg.MaxRequests},
 		&cli.DurationFlag{Name: "timeout", Usage: "bound on one request, and on opening a flow", Value: 5 * time.Second, Destination: &cfg.Timeout},
 		&cli.DurationFlag{Name: "late-after", Usage: "time after which an answer is late", Value: time.Second, Destination: &cfg.LateAfter},
+		&cli.BoolFlag{Name: "strict-moves", Usage: "break flows also on moves that the agent declared", Destination: &cfg.StrictMoves},
+		&cli.BoolFlag{Name: "allow-go-away", Usage: "flows that end by GOAWAY are not broken", Destination: &cfg.AllowGoAway},
 		&cli.DurationFlag{Name: "keep-alive", Usage: "period of QUIC keep-alives", Value: 5 * time.Second, Destination: &cfg.KeepAlive},
 		&cli.DurationFlag{Name: "idle-timeout", Usage: "silence that ends a flow", Value: 30 * time.Second, Destination: &cfg.IdleTimeout},
 		&cli.FloatFlag{Name: "post-share", Usage: "share of non-idempotent requests", Value: 0.3, Destination: &cfg.PostShare},
@@ -96,10 +96,8 @@
 	return nil
 }
 
-// run puts the load on until it is bounded or the process is told to stop.
+// run puts the load on until it is bounded or the context ends.
 func run(ctx context.Context, cfg Config) error {
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	c, err := New(cfg, log.With(logger, "ts", log.DefaultTimestampUTC))
 	if err != nil {
--- a/standin/workload/requests.go
+++ b/standin/workload/requests.go
@@ -55,8 +55,10 @@
 	AnswerID string      `json:"answer_id,omitempty"`
 	Answer   Digest      `json:"answer,omitzero"`
 	Fault    AnswerFault `json:"fault,omitempty"`
-	Target   string      `json:"target,omitempty"`
-	Error    string      `json:"error,omitempty"`
+	// Target is the target in its own words, AgentTarget in the agent's.
+	Target      string `json:"target,omitempty"`
+	AgentTarget string `json:"agent_target,omitempty"`
+	Error       string `json:"error,omitempty"`
 }
 
 // MethodDatagram stands for the method of requests that are datagrams of a
@@ -73,6 +75,9 @@
 	From string    `json:"from"`
 	To   string    `json:"to"`
 	At   time.Time `json:"at"`
+	// Declared reports whether the agent named the new target itself: it kept
+	// the caller's connection and handed the request over.
+	Declared bool `json:"declared"`
 	// Allowed reports whether the scenario had allowed moves from From.
 	Allowed bool `json:"allowed"`
 }
@@ -92,6 +97,9 @@
 	// Established is set by the first whole answer.
 	Established bool   `json:"established"`
 	Moves       []Move `json:"moves,omitempty"`
+	// GoAway reports that the agent asked the caller to leave, by HTTP/3's
+	// GOAWAY.
+	GoAway bool `json:"go_away,omitempty"`
 	// Broken is the cause, if an established flow ended other than by its
 	// caller or moved without being allowed to.
 	Broken string `json:"broken,omitempty"`
@@ -126,8 +134,10 @@
 	Refused  int `json:"refused"`
 	Unknown  int `json:"unknown"`
 	Lost     int `json:"lost"`
-	// BrokenFlows and Moves count flows and changes of target.
+	// BrokenFlows counts broken flows, GoAways those that ended by GOAWAY,
+	// Moves the changes of target.
 	BrokenFlows int `json:"broken_flows"`
+	GoAways     int `json:"go_aways"`
 	Moves       int `json:"moves"`
 	// Pending counts requests still under way; they are not yet in Sent.
 	Pending int `json:"pending"`
