--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -89,7 +89,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, withoutURL(err)
 	}
 	defer resp.Body.Close()
 	body, err := readBounded(resp.Body)
@@ -106,6 +106,15 @@
 	return answer, nil
 }
 
+// withoutURL returns the reason of a failed call. Callers know the address.
+func withoutURL(err error) error {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err
+	}
+	return err
+}
+
 // readBounded reads at most MaxAnswerBytes.
 func readBounded(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, MaxAnswerBytes+1))
--- a/internal/adminapi/doc.go
+++ b/internal/adminapi/doc.go
@@ -12,7 +12,7 @@
 	// PathFlows is served by agents and answers with a Flows.
 	PathFlows = "/v1/flows"
 	// PathExplain is served by balancers and agents and answers with an
-	// Explanation.
+	// Explanation, or 404 if the service is not declared.
 	PathExplain = "/v1/explain"
 )
 
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,209 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/configstore"
+	"amaranthwheel.example/amaranthwheel/internal/declare"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+func (a *App) applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "make a declared file the configuration and wait until it is in force",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: flagBase, Usage: "fail unless `N` is still the version; the default is the version that is read first"},
+			noteFlag(),
+			waitFlag(),
+		},
+		Action: a.action(a.apply),
+	}
+}
+
+// applyReport is the answer of apply.
+type applyReport struct {
+	// Version is the version that holds the whole change.
+	Version uint64           `json:"version"`
+	Base    uint64           `json:"base"`
+	Changes []declare.Change `json:"changes"`
+	// Accepted lists the versions that the change made, none if the file
+	// changed nothing.
+	Accepted []acceptedVersion `json:"accepted"`
+	InForce  *forceReport      `json:"in_force,omitempty"`
+}
+
+// acceptedVersion is one accepted version with the ID of its change.
+type acceptedVersion struct {
+	Version  uint64 `json:"version"`
+	ChangeID string `json:"change_id"`
+}
+
+// apply writes a declared file to the store and waits until it is in force.
+func (a *App) apply(ctx context.Context, cmd *cli.Command) error {
+	session, err := a.openSession(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer session.close()
+	args, err := arguments(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	wait, err := session.waitFor(cmd)
+	if err != nil {
+		return err
+	}
+	plan, err := session.plan(args[0])
+	if err != nil {
+		return err
+	}
+	if err := session.checkBase(cmd, plan); err != nil {
+		return err
+	}
+	report := &applyReport{Base: plan.current.Version, Version: plan.current.Version, Changes: plan.changes, Accepted: []acceptedVersion{}}
+	if err := session.write(plan, cmd.String(flagNote), report); err != nil {
+		return err
+	}
+	return a.finishApply(ctx, session.settings, wait, report)
+}
+
+// finishApply reports the accepted change, waits, and reports where it is in
+// force.
+func (a *App) finishApply(ctx context.Context, s *settings, wait time.Duration, report *applyReport) error {
+	if s.format == formatTable {
+		if err := printApplied(a.Stdout, report); err != nil {
+			return err
+		}
+	}
+	waitErr := a.waitInForce(ctx, s, wait, report.Version, &report.InForce)
+	if s.format == formatJSON {
+		return errors.Join(printJSON(a.Stdout, report), waitErr)
+	}
+	return waitErr
+}
+
+// checkBase reports a conflict if --base names another version than the
+// current one.
+func (s *session) checkBase(cmd *cli.Command, p *plan) error {
+	base := cmd.Uint64(flagBase)
+	if !cmd.IsSet(flagBase) || base == p.current.Version {
+		return nil
+	}
+	if base > p.current.Version {
+		return inputErrorf("--base %d is not a version yet; the current version is %d", base, p.current.Version)
+	}
+	winners, err := s.recordsAfter(base)
+	if err != nil {
+		return err
+	}
+	return s.fileConflict(&configstore.ConflictError{Base: base, Current: p.current.Version, Winners: winners}, p.desired)
+}
+
+// write applies the changes in as many versions as they need.
+func (s *session) write(p *plan, note string, report *applyReport) error {
+	if len(p.changes) == 0 {
+		return nil
+	}
+	config, remaining, limit := p.current, p.changes, configstore.MaxObjects
+	for len(remaining) > 0 {
+		steps, err := declare.Split(config, remaining, limit)
+		if err != nil {
+			return partlyAccepted(err, report)
+		}
+		step := steps[0]
+		record, err := s.submit(report.Version, note, declare.Written(step))
+		if tooLarge(err) && len(step) > 1 {
+			limit = (len(step) + 1) / 2
+			continue
+		}
+		if err != nil {
+			return partlyAccepted(s.explainConflict(err, p), report)
+		}
+		report.Version = record.Version
+		report.Accepted = append(report.Accepted, acceptedVersion{record.Version, record.Change.ID})
+		config = declare.Applied(config, step)
+		remaining = slices.Concat(steps[1:]...)
+	}
+	return nil
+}
+
+// tooLarge reports whether the store refused a change for its size. Nothing
+// was written then.
+func tooLarge(err error) bool {
+	var large *configstore.TooLargeError
+	return errors.As(err, &large)
+}
+
+// explainConflict adds what differs to a lost race.
+func (s *session) explainConflict(err error, p *plan) error {
+	var raced *configstore.ConflictError
+	if errors.As(err, &raced) {
+		return s.fileConflict(raced, p.desired)
+	}
+	return err
+}
+
+// partlyAccepted says which versions were accepted before the error.
+func partlyAccepted(err error, report *applyReport) error {
+	if len(report.Accepted) == 0 {
+		return err
+	}
+	return fmt.Errorf("a part of the change was accepted, up to version %d; then: %w", report.Version, err)
+}
+
+// submit writes objects as one version. A lost answer is resolved by the
+// change's ID.
+func (s *session) submit(base uint64, note string, objects []model.Object) (configstore.Record, error) {
+	change := configstore.Change{
+		ID:      s.app.NewChangeID(),
+		Author:  s.settings.author,
+		Note:    note,
+		At:      s.app.Now().UTC(),
+		Objects: objects,
+	}
+	record, err := s.store.Apply(s.ctx, base, change)
+	var unresolved *configstore.UnresolvedError
+	if errors.As(err, &unresolved) {
+		return s.resolve(base, change, err)
+	}
+	return record, err
+}
+
+// printChanges writes the changes against a version.
+func printChanges(w io.Writer, version uint64, changes []declare.Change) error {
+	if len(changes) == 0 {
+		_, err := fmt.Fprintf(w, "no changes against version %d\n", version)
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "%d changes against version %d:\n", len(changes), version); err != nil {
+		return err
+	}
+	for i := range changes {
+		if _, err := fmt.Fprintf(w, "  %s\n", changes[i].String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// printApplied writes the changes and the versions that hold them.
+func printApplied(w io.Writer, report *applyReport) error {
+	if err := printChanges(w, report.Base, report.Changes); err != nil {
+		return err
+	}
+	for _, v := range report.Accepted {
+		if _, err := fmt.Fprintf(w, "accepted as version %d (change %s)\n", v.Version, v.ChangeID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,93 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/declare"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// checkReport is the answer of check.
+type checkReport struct {
+	File     string `json:"file"`
+	Domains  int    `json:"domains"`
+	Services int    `json:"services"`
+}
+
+func (a *App) checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a declared file without the store",
+		ArgsUsage: "FILE",
+		Action:    a.action(a.check),
+	}
+}
+
+// check reads a declared file and reports every finding.
+func (a *App) check(_ context.Context, cmd *cli.Command) error {
+	s, err := readSettings(cmd)
+	if err != nil {
+		return err
+	}
+	args, err := arguments(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	objects, err := readDeclared(args[0])
+	if err != nil {
+		return fmt.Errorf("%d findings in %s:\n%w", findingCount(err), args[0], err)
+	}
+	report := checkReport{File: args[0]}
+	for _, o := range objects {
+		switch o.Key.Kind {
+		case model.KindDomain:
+			report.Domains++
+		case model.KindService:
+			report.Services++
+		}
+	}
+	if s.format == formatJSON {
+		return printJSON(a.Stdout, report)
+	}
+	_, err = fmt.Fprintf(a.Stdout, "%s: ok, %d failure domains, %d services\n", report.File, report.Domains, report.Services)
+	return err
+}
+
+// diffReport is the answer of diff.
+type diffReport struct {
+	Version uint64           `json:"version"`
+	Changes []declare.Change `json:"changes"`
+}
+
+func (a *App) diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what applying a declared file would change",
+		ArgsUsage: "FILE",
+		Action:    a.action(a.diff),
+	}
+}
+
+// diff compares a declared file with the configuration in the store.
+func (a *App) diff(ctx context.Context, cmd *cli.Command) error {
+	session, err := a.openSession(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer session.close()
+	args, err := arguments(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	plan, err := session.plan(args[0])
+	if err != nil {
+		return err
+	}
+	if session.settings.format == formatJSON {
+		return printJSON(a.Stdout, diffReport{plan.current.Version, plan.changes})
+	}
+	return printChanges(a.Stdout, plan.current.Version, plan.changes)
+}
--- /dev/null
+++ b/internal/ctl/clientfile.go
@@ -0,0 +1,115 @@
+package ctl
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/operator/findings"
+)
+
+// The keys of the client settings file.
+const (
+	keyCluster   = "cluster"
+	keyStore     = "store"
+	keyBalancers = "balancers"
+	keyTimeout   = "timeout"
+	keyAuthor    = "author"
+)
+
+// clientFile is the client settings file. It saves typing flags.
+type clientFile struct {
+	Cluster   string   `toml:"cluster"`
+	Store     []string `toml:"store"`
+	Balancers []string `toml:"balancers"`
+	// Timeout is a duration with its unit.
+	Timeout string `toml:"timeout"`
+	Author  string `toml:"author"`
+
+	path string
+	data []byte
+}
+
+// readClientFile reads the file, or returns an empty one if the path is
+// empty. What is wrong is added to the findings.
+func readClientFile(path string, found *findings.List) clientFile {
+	file := clientFile{path: path}
+	if path == "" {
+		return file
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		found.Addf(findings.Place{File: path}, "%s", readError(err))
+		return file
+	}
+	file.data = data
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(&file); err != nil {
+		file.report(err, found)
+	}
+	return file
+}
+
+// report adds the findings of a failed decoding.
+func (f *clientFile) report(err error, found *findings.List) {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		for i := range unknown.Errors {
+			found.Addf(f.errorPlace(&unknown.Errors[i]), "unknown key")
+		}
+		return
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		found.Addf(f.errorPlace(decode), "%s", strings.TrimPrefix(decode.Error(), "toml: "))
+		return
+	}
+	found.Addf(findings.Place{File: f.path}, "%s", err)
+}
+
+func (f *clientFile) errorPlace(err *toml.DecodeError) findings.Place {
+	line, _ := err.Position()
+	return findings.Place{File: f.path, Line: line, Key: strings.Join(err.Key(), ".")}
+}
+
+// timeout returns the flag's or the file's timeout.
+func (f *clientFile) timeout(cmd *cli.Command, found *findings.List) time.Duration {
+	timeout := cmd.Duration(flagTimeout)
+	place := f.placeOr(cmd, flagTimeout, keyTimeout)
+	if !cmd.IsSet(flagTimeout) && f.Timeout != "" {
+		parsed, err := time.ParseDuration(f.Timeout)
+		if err != nil {
+			found.Addf(place, `%q is not a duration; write a number with a unit, such as "10s"`, f.Timeout)
+			return timeout
+		}
+		timeout = parsed
+	}
+	if timeout <= 0 {
+		found.Addf(place, "%s is out of range; want more than 0s", timeout)
+	}
+	return timeout
+}
+
+// placeOr returns the place of a setting: the flag if it was given, else the
+// key in the file if it is there.
+func (f *clientFile) placeOr(cmd *cli.Command, flag, key string) findings.Place {
+	if cmd.IsSet(flag) || f.path == "" {
+		return flagPlace(flag)
+	}
+	return findings.Place{File: f.path, Line: f.line(key), Key: key}
+}
+
+// line returns the line of a top-level key, or 0 if it is absent.
+func (f *clientFile) line(key string) int {
+	at := regexp.MustCompile(`(?m)^\s*` + key + `\s*=`).FindIndex(f.data)
+	if at == nil {
+		return 0
+	}
+	return 1 + bytes.Count(f.data[:at[1]], []byte("\n"))
+}
--- /dev/null
+++ b/internal/ctl/conflict.go
@@ -0,0 +1,104 @@
+package ctl
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"amaranthwheel.example/amaranthwheel/internal/configstore"
+	"amaranthwheel.example/amaranthwheel/internal/declare"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// conflictError reports a lost race: who won, and what differs now.
+type conflictError struct {
+	// What names the change that was not accepted.
+	What string
+	// Base is the version that the change was made for.
+	Base    uint64
+	Current uint64
+	// Winners are the accepted changes above the base, the oldest first.
+	Winners []configstore.Record
+	// Remaining lists the changes from the current version to what was asked.
+	Remaining []declare.Change
+}
+
+// Error returns the report, several lines long.
+func (e *conflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "conflict: %s was made for version %d, but version %d is current; it was not accepted", e.What, e.Base, e.Current)
+	for _, w := range e.Winners {
+		fmt.Fprintf(&b, "\n  won: version %d by %s at %s%s: %s",
+			w.Version, orUnknown(w.Change.Author), formatTime(w.Change.At), quoted(w.Change.Note), objectNames(w.Change.Objects))
+	}
+	if len(e.Remaining) == 0 {
+		b.WriteString("\n  version " + fmt.Sprint(e.Current) + " holds what you asked for already")
+		return b.String()
+	}
+	fmt.Fprintf(&b, "\nversion %d differs from what you asked for; yours would now be:", e.Current)
+	for i := range e.Remaining {
+		change := &e.Remaining[i]
+		fmt.Fprintf(&b, "\n  %s%s", change.String(), e.alsoChanged(change.Key()))
+	}
+	return b.String()
+}
+
+// alsoChanged names the winner that changed the same object, if one did.
+func (e *conflictError) alsoChanged(key model.ObjectKey) string {
+	for _, w := range slices.Backward(e.Winners) {
+		for _, o := range w.Change.Objects {
+			if o.Key == key {
+				return fmt.Sprintf(" (changed by %s in version %d)", orUnknown(w.Change.Author), w.Version)
+			}
+		}
+	}
+	return ""
+}
+
+// fileConflict builds the report about a declared file. It reads the current
+// configuration to tell what differs.
+func (s *session) fileConflict(raced *configstore.ConflictError, desired []model.Object) error {
+	current, err := loadConfig(s.ctx, s.store)
+	if err != nil {
+		return fmt.Errorf("%w; what differs now can't be read: %v", raced, err)
+	}
+	return &conflictError{
+		What:      "your file",
+		Base:      raced.Base,
+		Current:   current.Version,
+		Winners:   oldestFirst(raced.Winners),
+		Remaining: declare.Diff(current, desired),
+	}
+}
+
+// oldestFirst returns the records in the order of their versions.
+func oldestFirst(records []configstore.Record) []configstore.Record {
+	return slices.SortedFunc(slices.Values(records), func(a, b configstore.Record) int {
+		return cmp.Compare(a.Version, b.Version)
+	})
+}
+
+// objectNames lists what a change wrote.
+func objectNames(objects []model.Object) string {
+	names := make([]string, len(objects))
+	for i, o := range objects {
+		names[i] = string(o.Key.Kind) + " " + o.Key.Name
+		if o.Deleted() {
+			names[i] += " removed"
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// quoted returns " (note)", or nothing without a note.
+func quoted(note string) string {
+	if note == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (%q)", note)
+}
+
+func orUnknown(author string) string {
+	return cmp.Or(author, "unknown")
+}
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,201 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/adminapi"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// maxExplainAgents bounds the agents that explain asks.
+const maxExplainAgents = 16
+
+func (a *App) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "say why a caller's flow to a service is where it is",
+		ArgsUsage: "SERVICE CALLER_ADDRESS",
+		Action:    a.action(a.explain),
+	}
+}
+
+// explainReport is the answer of explain.
+type explainReport struct {
+	Service model.ServiceName `json:"service"`
+	Caller  netip.AddrPort    `json:"caller"`
+	// Conclusion is the answer in one sentence.
+	Conclusion string `json:"conclusion"`
+	// Balancers and Agents are the answers that it rests on.
+	Balancers []adminapi.Explanation `json:"balancers"`
+	Agents    []adminapi.Explanation `json:"agents"`
+	Silent    []silentAddress        `json:"silent,omitempty"`
+	// refusals holds the messages of nodes that know no such service.
+	refusals []string
+}
+
+// explain asks the named balancers and the agents they rank.
+func (a *App) explain(ctx context.Context, cmd *cli.Command) error {
+	s, err := readSettings(cmd)
+	if err != nil {
+		return err
+	}
+	if err := s.requireBalancers(); err != nil {
+		return err
+	}
+	args, err := arguments(cmd, "SERVICE", "CALLER_ADDRESS")
+	if err != nil {
+		return err
+	}
+	caller, err := netip.ParseAddrPort(args[1])
+	if err != nil {
+		return inputErrorf("%q is not a caller's address; write IP:port", args[1])
+	}
+	report := &explainReport{
+		Service: model.ServiceName(args[0]), Caller: caller,
+		Balancers: []adminapi.Explanation{}, Agents: []adminapi.Explanation{},
+	}
+	if err := report.ask(ctx, s.balancers); err != nil {
+		return err
+	}
+	report.Conclusion = conclude(report)
+	if s.format == formatJSON {
+		return printJSON(a.Stdout, report)
+	}
+	return a.printExplanation(report)
+}
+
+// ask asks the balancers, then the agents that they rank, then the holder
+// that a home names.
+func (r *explainReport) ask(ctx context.Context, balancers []netip.AddrPort) error {
+	client := adminapi.NewClient(0)
+	defer client.Close()
+	r.Balancers = append(r.Balancers, r.askNodes(ctx, client, balancers)...)
+	if len(r.Balancers) == 0 {
+		return r.noExplanation(balancers)
+	}
+	agents := rankedAgents(r.Balancers)
+	r.Agents = append(r.Agents, r.askNodes(ctx, client, agents)...)
+	holders := unaskedHolders(r.Agents, agents)
+	r.Agents = append(r.Agents, r.askNodes(ctx, client, holders)...)
+	return nil
+}
+
+// noExplanation reports that no balancer explained the flow. A balancer that
+// answers and refuses was asked for something that does not exist.
+func (r *explainReport) noExplanation(balancers []netip.AddrPort) error {
+	if len(r.refusals) == len(balancers) {
+		return inputErrorf("%s", r.refusals[0])
+	}
+	return &noAnswerError{fmt.Sprintf("no balancer explained the flow; the first: %s", r.Silent[0].Error)}
+}
+
+// askNodes returns the explanations of the nodes that answered.
+func (r *explainReport) askNodes(ctx context.Context, client *adminapi.Client, nodes []netip.AddrPort) []adminapi.Explanation {
+	answers := adminapi.FanOut(ctx, nodes, func(ctx context.Context, node netip.AddrPort) (*adminapi.Explanation, error) {
+		return client.Explain(ctx, node, r.Service, r.Caller)
+	})
+	var out []adminapi.Explanation
+	for _, answer := range answers {
+		if answer.Err != nil {
+			r.miss(answer.Node, answer.Err)
+			continue
+		}
+		out = append(out, *answer.Value)
+	}
+	return out
+}
+
+// miss notes a node that did not explain.
+func (r *explainReport) miss(node netip.AddrPort, err error) {
+	r.Silent = append(r.Silent, silentAddress{node, err.Error()})
+	var status *adminapi.StatusError
+	if errors.As(err, &status) && status.Code == http.StatusNotFound {
+		r.refusals = append(r.refusals, status.Message)
+	}
+}
+
+// rankedAgents returns the addresses of the agents that the balancers rank,
+// the homes first, at most maxExplainAgents.
+func rankedAgents(balancers []adminapi.Explanation) []netip.AddrPort {
+	var out []netip.AddrPort
+	for rank := range adminapi.MaxCandidates {
+		for _, b := range balancers {
+			if b.Route == nil || rank >= len(b.Route.Candidates) || len(out) == maxExplainAgents {
+				continue
+			}
+			if admin := b.Route.Candidates[rank].Admin; admin.IsValid() && !slices.Contains(out, admin) {
+				out = append(out, admin)
+			}
+		}
+	}
+	return out
+}
+
+// unaskedHolders returns the addresses of the holders that homes name and
+// that were not asked.
+func unaskedHolders(agents []adminapi.Explanation, asked []netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, e := range agents {
+		if e.Directory == nil || !e.Directory.HolderAdmin.IsValid() {
+			continue
+		}
+		if admin := e.Directory.HolderAdmin; !slices.Contains(asked, admin) && !slices.Contains(out, admin) {
+			out = append(out, admin)
+		}
+	}
+	return out
+}
+
+func (a *App) printExplanation(r *explainReport) error {
+	fmt.Fprintf(a.Stdout, "flow %s to %s\n%s\n", r.Caller, r.Service, r.Conclusion)
+	for _, b := range r.Balancers {
+		if err := a.printRoute(b); err != nil {
+			return err
+		}
+	}
+	for _, e := range r.Agents {
+		a.printAgentView(e)
+	}
+	for _, silent := range r.Silent {
+		fmt.Fprintf(a.Stdout, "note: %s did not explain: %s\n", silent.Address, silent.Error)
+	}
+	return nil
+}
+
+// printRoute prints a balancer's ranking.
+func (a *App) printRoute(b adminapi.Explanation) error {
+	if b.Route == nil {
+		return nil
+	}
+	home := string(b.Route.Home)
+	if home == "" {
+		home = "none"
+	}
+	fmt.Fprintf(a.Stdout, "\nbalancer %s: version %d, candidates %s, home %s\n", b.Node, b.ConfigVersion, b.Route.Digest, home)
+	t := newTable("RANK", "AGENT", "TARGET", "DOMAIN", "STATE", "NEW FLOWS", "SCORE", "REASON")
+	for _, c := range b.Route.Candidates {
+		t.add(countText(c.Rank), string(c.Node), string(c.Target), string(c.Domain), string(c.State),
+			yesNo(c.Admits), strconv.FormatUint(c.Score, 10), c.Reason)
+	}
+	return t.print(a.Stdout)
+}
+
+// printAgentView prints what an agent knows of the flow, if anything.
+func (a *App) printAgentView(e adminapi.Explanation) {
+	if d := e.Directory; d != nil {
+		fmt.Fprintf(a.Stdout, "agent %s: directory entry: holder %s since %s, established %s\n",
+			e.Node, d.Holder, formatTime(d.Since), yesNo(d.Established))
+	}
+	if h := e.Held; h != nil {
+		fmt.Fprintf(a.Stdout, "agent %s: holds the flow since %s, last seen %s, established %s\n",
+			e.Node, formatTime(h.Since), formatTime(h.LastSeen), yesNo(h.Established))
+	}
+}
--- /dev/null
+++ b/internal/ctl/fleet.go
@@ -0,0 +1,225 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"amaranthwheel.example/amaranthwheel/internal/adminapi"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// fleet is what the balancers that answered say of all nodes.
+type fleet struct {
+	records  map[model.NodeID]adminapi.Member
+	statuses map[model.NodeID]*adminapi.Status
+	versions map[process]uint64
+	// silent holds the addresses that did not answer, with the reason.
+	silent map[netip.AddrPort]error
+}
+
+// process is one instance of a node.
+type process struct {
+	node        model.NodeID
+	incarnation uint64
+}
+
+// fleetNode is one node that is up.
+type fleetNode struct {
+	adminapi.Member
+	// version is the newest one that the node is known to hold.
+	version uint64
+	known   bool
+	// status is the node's own answer; nil if it was not asked or is silent.
+	status *adminapi.Status
+	// silence is why a node that was asked did not answer.
+	silence error
+}
+
+// askFleet asks the named balancers for all members, then every other balancer
+// that these report as up for its own state, and last the agents that are up
+// and whose version no balancer knows.
+func askFleet(ctx context.Context, client *adminapi.Client, balancers []netip.AddrPort) (*fleet, error) {
+	f := &fleet{
+		records:  make(map[model.NodeID]adminapi.Member),
+		statuses: make(map[model.NodeID]*adminapi.Status),
+		versions: make(map[process]uint64),
+		silent:   make(map[netip.AddrPort]error),
+	}
+	f.ask(ctx, client, balancers, adminapi.MembersAll)
+	if len(f.statuses) == 0 {
+		return nil, f.noAnswer(balancers)
+	}
+	f.ask(ctx, client, f.unaskedBalancers(balancers), adminapi.MembersNone)
+	f.ask(ctx, client, f.unknownAgents(), adminapi.MembersNone)
+	return f, nil
+}
+
+// noAnswer reports that none of the balancers answered.
+func (f *fleet) noAnswer(balancers []netip.AddrPort) error {
+	message := "no balancer answered:"
+	for _, address := range balancers {
+		message += "\n  " + address.String() + ": " + f.silent[address].Error()
+	}
+	return &noAnswerError{message}
+}
+
+// ask asks the addresses and takes their answers.
+func (f *fleet) ask(ctx context.Context, client *adminapi.Client, addresses []netip.AddrPort, members adminapi.MemberFilter) {
+	answers := adminapi.FanOut(ctx, addresses, func(ctx context.Context, node netip.AddrPort) (*adminapi.Status, error) {
+		return client.Status(ctx, node, members)
+	})
+	for _, answer := range answers {
+		if answer.Err != nil {
+			f.silent[answer.Node] = answer.Err
+			continue
+		}
+		f.take(answer.Node, answer.Value)
+	}
+}
+
+// take merges one node's answer.
+func (f *fleet) take(address netip.AddrPort, s *adminapi.Status) {
+	f.statuses[s.Node] = s
+	f.raise(s.Node, s.Incarnation, s.ConfigVersion)
+	f.merge(ownRecord(address, s))
+	for _, m := range s.Members {
+		f.merge(m)
+		if m.ConfigVersion > 0 {
+			f.raise(m.Node, m.Incarnation, m.ConfigVersion)
+		}
+	}
+	for _, w := range s.Watched {
+		f.raise(w.Node, w.Incarnation, w.ConfigVersion)
+	}
+}
+
+// ownRecord returns the record that a node's answer stands for. Its revision
+// is the lowest, so that a proper record of the same process replaces it.
+func ownRecord(address netip.AddrPort, s *adminapi.Status) adminapi.Member {
+	state := adminapi.StateAlive
+	if s.Stopping {
+		state = adminapi.StateDraining
+	}
+	return adminapi.Member{
+		Node: s.Node, Role: s.Role, State: state, Incarnation: s.Incarnation,
+		Domain: s.Domain, Admin: address,
+	}
+}
+
+// raise notes that a process holds a version. Versions only rise.
+func (f *fleet) raise(node model.NodeID, incarnation, version uint64) {
+	key := process{node, incarnation}
+	f.versions[key] = max(f.versions[key], version)
+}
+
+// stateOrder is the precedence of claims about one revision of a record.
+var stateOrder = []adminapi.State{
+	adminapi.StateAlive, adminapi.StateDraining, adminapi.StateSuspect, adminapi.StateLeft, adminapi.StateDead,
+}
+
+// merge takes a record if it supersedes the held one.
+func (f *fleet) merge(m adminapi.Member) {
+	held, ok := f.records[m.Node]
+	order := cmp.Or(
+		cmp.Compare(m.Incarnation, held.Incarnation),
+		cmp.Compare(m.Revision, held.Revision),
+		cmp.Compare(slices.Index(stateOrder, m.State), slices.Index(stateOrder, held.State)),
+	)
+	if !ok || order > 0 {
+		f.records[m.Node] = m
+	}
+}
+
+// unaskedBalancers returns the admin addresses of the balancers that are up
+// and were not asked.
+func (f *fleet) unaskedBalancers(asked []netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range f.records {
+		_, answered := f.statuses[m.Node]
+		if m.Role == adminapi.RoleBalancer && m.State.Up() && !answered && !slices.Contains(asked, m.Admin) {
+			out = append(out, m.Admin)
+		}
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
+}
+
+// unknownAgents returns the admin addresses of the agents that are up and
+// whose version is not known.
+func (f *fleet) unknownAgents() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range f.records {
+		_, known := f.versions[process{m.Node, m.Incarnation}]
+		if m.Role == adminapi.RoleAgent && m.State.Up() && !known && m.Admin.IsValid() {
+			out = append(out, m.Admin)
+		}
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
+}
+
+// nodes returns the nodes that are up: those whose record says so and the
+// balancers that answered. Balancers come first, then by name.
+func (f *fleet) nodes() []fleetNode {
+	var out []fleetNode
+	for _, m := range f.records {
+		status := f.answerOf(m)
+		if !m.State.Up() && status == nil {
+			continue
+		}
+		n := fleetNode{Member: m, status: status}
+		n.version, n.known = f.versions[process{m.Node, m.Incarnation}]
+		if status == nil {
+			n.silence = f.silent[m.Admin]
+		}
+		// What others last heard of a silent balancer is no answer.
+		if m.Role == adminapi.RoleBalancer && status == nil {
+			n.known = false
+		}
+		out = append(out, n)
+	}
+	slices.SortFunc(out, compareNodes)
+	return out
+}
+
+// answerOf returns the node's own answer if it is of the recorded process.
+func (f *fleet) answerOf(m adminapi.Member) *adminapi.Status {
+	if s := f.statuses[m.Node]; s != nil && s.Incarnation == m.Incarnation {
+		return s
+	}
+	return nil
+}
+
+func compareNodes(a, b fleetNode) int {
+	return cmp.Or(-cmp.Compare(a.Role, b.Role), cmp.Compare(a.Node, b.Node))
+}
+
+// notes returns what the list of nodes leaves out, in a stable order.
+func (f *fleet) notes() []string {
+	var out []string
+	for address := range f.silent {
+		if !f.upAt(address) {
+			out = append(out, fmt.Sprintf("%s did not answer, and no balancer reports a node there", address))
+		}
+	}
+	for _, s := range f.statuses {
+		if s.MembersTruncated {
+			out = append(out, fmt.Sprintf("%s lists only %d of %d members", s.Node, len(s.Members), s.MembersTotal))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// upAt reports whether a node that is up has the admin address.
+func (f *fleet) upAt(address netip.AddrPort) bool {
+	for _, m := range f.records {
+		if m.Admin == address && m.State.Up() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/ctl/flows.go
@@ -0,0 +1,151 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/adminapi"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+func (a *App) flowsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "flows",
+		Usage: "list the flows that the agents hold",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagService, Usage: "only flows of the service `NAME`"},
+			&cli.IntFlag{Name: flagLimit, Usage: "list at most `N` flows", Value: defaultFlowLimit},
+		},
+		Action: a.action(a.flows),
+	}
+}
+
+// flowsReport is the answer of flows.
+type flowsReport struct {
+	// Held is the number of flows that the agents hold, listed or not, of all
+	// services.
+	Held      int             `json:"held"`
+	Flows     []flowReport    `json:"flows"`
+	Truncated bool            `json:"truncated"`
+	Agents    []agentFlows    `json:"agents"`
+	Silent    []silentAddress `json:"silent,omitempty"`
+}
+
+// flowReport is one flow with the agent that holds it.
+type flowReport struct {
+	adminapi.Flow
+	Holder model.NodeID `json:"holder"`
+}
+
+// agentFlows counts the flows of one agent.
+type agentFlows struct {
+	Node      model.NodeID `json:"node"`
+	Held      int          `json:"held"`
+	Directory int          `json:"directory"`
+}
+
+// silentAddress is a node that did not answer.
+type silentAddress struct {
+	Address netip.AddrPort `json:"address"`
+	Error   string         `json:"error"`
+}
+
+// flows asks the agents for their flows and prints them.
+func (a *App) flows(ctx context.Context, cmd *cli.Command) error {
+	s, err := readSettings(cmd)
+	if err != nil {
+		return err
+	}
+	if err := s.requireBalancers(); err != nil {
+		return err
+	}
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	limit := cmd.Int(flagLimit)
+	if limit < 1 || limit > adminapi.MaxFlows {
+		return inputErrorf("--limit %d is out of range; want 1 to %d", limit, adminapi.MaxFlows)
+	}
+	report, err := askFlows(ctx, s, model.ServiceName(cmd.String(flagService)), limit)
+	if err != nil {
+		return err
+	}
+	if s.format == formatJSON {
+		return printJSON(a.Stdout, report)
+	}
+	return a.printFlows(report)
+}
+
+// askFlows asks every agent of the service.
+func askFlows(ctx context.Context, s *settings, service model.ServiceName, limit int) (*flowsReport, error) {
+	client := adminapi.NewClient(0)
+	defer client.Close()
+	fleet, err := askFleet(ctx, client, s.balancers)
+	if err != nil {
+		return nil, err
+	}
+	agents := agentAddresses(fleet.nodes(), service)
+	answers := adminapi.FanOut(ctx, agents, func(ctx context.Context, node netip.AddrPort) (*adminapi.Flows, error) {
+		return client.Flows(ctx, node, service, limit)
+	})
+	report := &flowsReport{Flows: []flowReport{}, Agents: []agentFlows{}}
+	for _, answer := range answers {
+		report.take(answer)
+	}
+	if len(answers) > 0 && len(report.Agents) == 0 {
+		return nil, &noAnswerError{fmt.Sprintf("none of %d agents answered; the first: %s", len(answers), answers[0].Err)}
+	}
+	report.cut(limit)
+	return report, nil
+}
+
+// take adds one agent's answer.
+func (r *flowsReport) take(answer adminapi.Answer[adminapi.Flows]) {
+	if answer.Err != nil {
+		r.Silent = append(r.Silent, silentAddress{answer.Node, answer.Err.Error()})
+		return
+	}
+	f := answer.Value
+	r.Held += f.Held
+	r.Truncated = r.Truncated || f.Truncated
+	r.Agents = append(r.Agents, agentFlows{f.Node, f.Held, f.Directory})
+	for _, flow := range f.Flows {
+		r.Flows = append(r.Flows, flowReport{flow, f.Node})
+	}
+}
+
+// cut orders the flows and keeps at most limit of them.
+func (r *flowsReport) cut(limit int) {
+	slices.SortFunc(r.Flows, func(a, b flowReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Caller.Compare(b.Caller), cmp.Compare(a.Holder, b.Holder))
+	})
+	if len(r.Flows) > limit {
+		r.Flows = r.Flows[:limit]
+		r.Truncated = true
+	}
+}
+
+func (a *App) printFlows(r *flowsReport) error {
+	t := newTable("SERVICE", "CALLER", "HOLDER", "HOME", "ESTABLISHED", "SINCE", "LAST SEEN")
+	for _, f := range r.Flows {
+		t.add(string(f.Service), f.Caller.String(), string(f.Holder), string(f.Home), yesNo(f.Established),
+			formatTime(f.Since), formatTime(f.LastSeen))
+	}
+	if err := t.print(a.Stdout); err != nil {
+		return err
+	}
+	for _, silent := range r.Silent {
+		fmt.Fprintf(a.Stdout, "note: agent %s did not answer: %s\n", silent.Address, silent.Error)
+	}
+	more := ""
+	if r.Truncated {
+		more = "; there are more"
+	}
+	_, err := fmt.Fprintf(a.Stdout, "%d flows listed%s; %d agents hold %d in all\n", len(r.Flows), more, len(r.Agents), r.Held)
+	return err
+}
--- /dev/null
+++ b/internal/ctl/get.go
@@ -0,0 +1,112 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/declare"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// kinds are the kinds of objects in the order of the listing.
+var kinds = []model.ObjectKind{model.KindDomain, model.KindDomainState, model.KindService, model.KindTargetState}
+
+func (a *App) getCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "show the configuration in the store",
+		ArgsUsage: "[KIND [NAME]]",
+		Action:    a.action(a.get),
+	}
+}
+
+// getReport is the answer of get.
+type getReport struct {
+	Version uint64         `json:"version"`
+	Objects []objectReport `json:"objects"`
+}
+
+// get prints the objects of the kind and name that the arguments select.
+func (a *App) get(ctx context.Context, cmd *cli.Command) error {
+	session, err := a.openSession(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer session.close()
+	wanted, err := selection(cmd)
+	if err != nil {
+		return err
+	}
+	config, err := loadConfig(session.ctx, session.store)
+	if err != nil {
+		return err
+	}
+	objects := selectObjects(config, wanted)
+	if wanted.Name != "" && len(objects) == 0 {
+		return fmt.Errorf("%s %q does not exist in version %d", wanted.Kind, wanted.Name, config.Version)
+	}
+	if session.settings.format == formatJSON {
+		return printJSON(a.Stdout, getReport{config.Version, objectReports(objects)})
+	}
+	return a.printObjects(config.Version, objects)
+}
+
+// selection returns the kind and name of the arguments; empty means any.
+func selection(cmd *cli.Command) (model.ObjectKey, error) {
+	args := cmd.Args().Slice()
+	if len(args) > 2 {
+		return model.ObjectKey{}, inputErrorf("%s takes at most 2 arguments (KIND NAME), found %d", cmd.FullName(), len(args))
+	}
+	var key model.ObjectKey
+	if len(args) > 0 {
+		key.Kind = model.ObjectKind(strings.TrimSuffix(args[0], "s"))
+		if !slices.Contains(kinds, key.Kind) {
+			return key, inputErrorf("%q is not a kind; want one of %v", args[0], kinds)
+		}
+	}
+	if len(args) > 1 {
+		key.Name = args[1]
+	}
+	return key, nil
+}
+
+// selectObjects returns the objects that exist and match, in key order.
+func selectObjects(c *model.Config, wanted model.ObjectKey) []model.Object {
+	objects := []model.Object{}
+	for _, o := range c.Objects {
+		kindMatches := wanted.Kind == "" || wanted.Kind == o.Key.Kind
+		nameMatches := wanted.Name == "" || wanted.Name == o.Key.Name
+		if kindMatches && nameMatches && !o.Deleted() {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b model.Object) int { return a.Key.Compare(b.Key) })
+	return objects
+}
+
+func (a *App) printObjects(version uint64, objects []model.Object) error {
+	t := newTable("KIND", "NAME", "VERSION", "FIELDS")
+	for i := range objects {
+		o := &objects[i]
+		t.add(string(o.Key.Kind), o.Key.Name, strconv.FormatUint(o.Version, 10), fieldsText(o))
+	}
+	if err := t.print(a.Stdout); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(a.Stdout, "version %d\n", version)
+	return err
+}
+
+// fieldsText prints the fields of an object as "name=value".
+func fieldsText(o *model.Object) string {
+	var parts []string
+	for _, f := range declare.Fields(o) {
+		parts = append(parts, f.Name+"="+f.Value)
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/ctl/operational.go
@@ -0,0 +1,160 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/configstore"
+	"amaranthwheel.example/amaranthwheel/internal/declare"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+const (
+	// maxAttempts bounds the attempts to write operational state while others
+	// change other objects.
+	maxAttempts = 8
+	// retryPause is the mean pause before another attempt.
+	retryPause = 50 * time.Millisecond
+)
+
+// stateChange sets the operational state of one object.
+type stateChange struct {
+	// what names the change, such as "domain out om-north-a".
+	what   string
+	object model.Object
+	// check reports why the change can't be made in the configuration.
+	check func(*model.Config) error
+}
+
+// stateReport is the answer of domain out and in, target drain and undrain.
+type stateReport struct {
+	// Change is what was asked for, such as "domain out om-north-a".
+	Change  string           `json:"change"`
+	Version uint64           `json:"version"`
+	Object  model.ObjectKey  `json:"object"`
+	Changes []declare.Change `json:"changes"`
+	// ChangeID is empty if nothing had to be changed.
+	ChangeID string       `json:"change_id,omitempty"`
+	InForce  *forceReport `json:"in_force,omitempty"`
+}
+
+// changeState writes the state and waits until it is in force.
+func (a *App) changeState(ctx context.Context, cmd *cli.Command, change stateChange) error {
+	session, err := a.openSession(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer session.close()
+	wait, err := session.waitFor(cmd)
+	if err != nil {
+		return err
+	}
+	report, err := session.writeState(change, cmd.String(flagNote))
+	if err != nil {
+		return err
+	}
+	if session.settings.format == formatTable {
+		if err := a.printState(report); err != nil {
+			return err
+		}
+	}
+	waitErr := a.waitInForce(ctx, session.settings, wait, report.Version, &report.InForce)
+	if session.settings.format == formatJSON {
+		return errors.Join(printJSON(a.Stdout, report), waitErr)
+	}
+	return waitErr
+}
+
+// writeState writes the state. If another change was accepted first, it reads
+// again and tries again, unless that change touched the same object.
+func (s *session) writeState(change stateChange, note string) (*stateReport, error) {
+	first, err := loadConfig(s.ctx, s.store)
+	if err != nil {
+		return nil, err
+	}
+	current := first
+	for attempt := 1; ; attempt++ {
+		report, err := s.tryState(change, note, current)
+		var raced *configstore.ConflictError
+		if !errors.As(err, &raced) {
+			return report, err
+		}
+		if current, err = loadConfig(s.ctx, s.store); err != nil {
+			return nil, err
+		}
+		if attempt == maxAttempts || changedSince(first, current, change.object.Key) {
+			return nil, stateConflict(change, first, current, raced)
+		}
+		if !sleep(s.ctx, rand.N(2*retryPause)) {
+			return nil, stateConflict(change, first, current, raced)
+		}
+	}
+}
+
+// changedSince reports whether the object has another version now.
+func changedSince(first, current *model.Config, key model.ObjectKey) bool {
+	return first.Objects[key].Version != current.Objects[key].Version
+}
+
+// tryState writes the state once, if the configuration has another one.
+func (s *session) tryState(change stateChange, note string, current *model.Config) (*stateReport, error) {
+	if err := change.check(current); err != nil {
+		return nil, err
+	}
+	report := &stateReport{Change: change.what, Version: current.Version, Object: change.object.Key, Changes: []declare.Change{}}
+	held := current.Objects[change.object.Key]
+	difference, differs := declare.Compare(&held, &change.object)
+	if !differs || sameState(&held, &change.object) {
+		return report, nil
+	}
+	record, err := s.submit(current.Version, note, []model.Object{change.object})
+	if err != nil {
+		return nil, err
+	}
+	report.Version = record.Version
+	report.ChangeID = record.Change.ID
+	report.Changes = append(report.Changes, difference)
+	return report, nil
+}
+
+// sameState reports whether an object without a state means the wanted one: a
+// failure domain is in and a target takes work unless operators said else.
+func sameState(held, wanted *model.Object) bool {
+	if !held.Deleted() {
+		return false
+	}
+	if wanted.DomainState != nil {
+		return !wanted.DomainState.Out
+	}
+	return wanted.TargetState != nil && !wanted.TargetState.Drain
+}
+
+// stateConflict reports a lost race over operational state.
+func stateConflict(change stateChange, first, current *model.Config, raced *configstore.ConflictError) error {
+	e := &conflictError{
+		What:    change.what,
+		Base:    first.Version,
+		Current: current.Version,
+		Winners: oldestFirst(raced.Winners),
+	}
+	held := current.Objects[change.object.Key]
+	if difference, differs := declare.Compare(&held, &change.object); differs {
+		e.Remaining = []declare.Change{difference}
+	}
+	return e
+}
+
+// printState writes what was changed.
+func (a *App) printState(report *stateReport) error {
+	if report.ChangeID == "" {
+		_, err := fmt.Fprintf(a.Stdout, "no change: %s holds already in version %d\n", report.Change, report.Version)
+		return err
+	}
+	_, err := fmt.Fprintf(a.Stdout, "%s: accepted as version %d (change %s)\n", report.Change, report.Version, report.ChangeID)
+	return err
+}
--- /dev/null
+++ b/internal/ctl/settings.go
@@ -0,0 +1,122 @@
+package ctl
+
+import (
+	"cmp"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/operator/findings"
+)
+
+// settings are the client settings of one run: flags and environment first,
+// then the client settings file, then defaults.
+type settings struct {
+	cluster   string
+	endpoints []string
+	balancers []netip.AddrPort
+	timeout   time.Duration
+	author    string
+	format    outputFormat
+}
+
+// readSettings merges flags, environment and the client settings file. It
+// returns a *findings.Error with everything that is wrong.
+func readSettings(cmd *cli.Command) (*settings, error) {
+	var found findings.List
+	file := readClientFile(cmd.String(flagConfig), &found)
+	s := &settings{
+		cluster: pick(cmd, flagCluster, cmd.String(flagCluster), file.Cluster),
+		author:  cmp.Or(pick(cmd, flagAuthor, cmd.String(flagAuthor), file.Author), os.Getenv("USER")),
+		timeout: file.timeout(cmd, &found),
+		format:  outputFormat(cmd.String(flagOutput)),
+	}
+	if !s.format.valid() {
+		found.Addf(flagPlace(flagOutput), "%q is not a format; want %q or %q", s.format, formatTable, formatJSON)
+	}
+	if strings.ContainsAny(s.cluster, "/ \t\n") {
+		found.Addf(file.placeOr(cmd, flagCluster, keyCluster), "%q is not a cluster's name; it has no slash or space", s.cluster)
+	}
+	s.readEndpoints(cmd, file, &found)
+	s.readBalancers(cmd, file, &found)
+	return s, found.Err()
+}
+
+// pick returns the flag's value if it was given by flag or environment, else
+// the file's.
+func pick[T any](cmd *cli.Command, flag string, fromFlag, fromFile T) T {
+	if cmd.IsSet(flag) {
+		return fromFlag
+	}
+	return fromFile
+}
+
+// readEndpoints reads the store's gateways; "IP:port" stands for
+// "http://IP:port".
+func (s *settings) readEndpoints(cmd *cli.Command, file clientFile, found *findings.List) {
+	place := file.placeOr(cmd, flagStore, keyStore)
+	for _, text := range pick(cmd, flagStore, cmd.StringSlice(flagStore), file.Store) {
+		endpoint := text
+		if !strings.Contains(text, "://") {
+			endpoint = "http://" + text
+		}
+		if !validEndpoint(endpoint) {
+			found.Addf(place, "%q is not a store gateway; write http://IP:port", text)
+			continue
+		}
+		s.endpoints = append(s.endpoints, endpoint)
+	}
+}
+
+func validEndpoint(endpoint string) bool {
+	u, err := url.Parse(endpoint)
+	if err != nil || endpoint != "http://"+u.Host {
+		return false
+	}
+	addr, err := netip.ParseAddrPort(u.Host)
+	return err == nil && addr.Port() != 0
+}
+
+// readBalancers reads the admin addresses.
+func (s *settings) readBalancers(cmd *cli.Command, file clientFile, found *findings.List) {
+	place := file.placeOr(cmd, flagBalancer, keyBalancers)
+	for _, text := range pick(cmd, flagBalancer, cmd.StringSlice(flagBalancer), file.Balancers) {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil || addr.Port() == 0 {
+			found.Addf(place, "%q is not an admin address; write IP:port", text)
+			continue
+		}
+		s.balancers = append(s.balancers, addr)
+	}
+}
+
+// requireStore checks that the settings name a store and a cluster.
+func (s *settings) requireStore() error {
+	var found findings.List
+	if len(s.endpoints) == 0 {
+		found.Addf(flagPlace(flagStore), "name a store gateway by flag, AMARANTH_STORE or the client settings file")
+	}
+	if s.cluster == "" {
+		found.Addf(flagPlace(flagCluster), "name the cluster by flag, AMARANTH_CLUSTER or the client settings file")
+	}
+	return found.Err()
+}
+
+// requireBalancers checks that the settings name a balancer.
+func (s *settings) requireBalancers() error {
+	if len(s.balancers) > 0 {
+		return nil
+	}
+	var found findings.List
+	found.Addf(flagPlace(flagBalancer), "name a balancer's admin address by flag, AMARANTH_BALANCERS or the client settings file")
+	return found.Err()
+}
+
+// flagPlace returns the place of a flag in findings.
+func flagPlace(flag string) findings.Place {
+	return findings.Place{Key: "--" + flag}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,176 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"amaranthwheel.example/amaranthwheel/internal/adminapi"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+func (a *App) statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "status",
+		Usage:  "list the nodes that are up and the version that each holds",
+		Action: a.action(a.status),
+	}
+}
+
+// statusReport is the answer of status.
+type statusReport struct {
+	// StoreVersion is the version in the store, absent if it did not answer.
+	StoreVersion *uint64      `json:"store_version,omitempty"`
+	StoreError   string       `json:"store_error,omitempty"`
+	Nodes        []nodeReport `json:"nodes"`
+	// Notes say what the nodes leave out.
+	Notes []string `json:"notes,omitempty"`
+}
+
+// nodeReport is one node that is up.
+type nodeReport struct {
+	adminapi.Member
+	Answered bool `json:"answered"`
+	// Out, Stopping and Peers are of nodes that answered.
+	Out      bool   `json:"out"`
+	Stopping bool   `json:"stopping"`
+	Peers    int    `json:"peers"`
+	Error    string `json:"error,omitempty"`
+}
+
+// status prints the nodes.
+func (a *App) status(ctx context.Context, cmd *cli.Command) error {
+	s, err := readSettings(cmd)
+	if err != nil {
+		return err
+	}
+	if err := s.requireBalancers(); err != nil {
+		return err
+	}
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	client := adminapi.NewClient(0)
+	defer client.Close()
+	fleet, err := askFleet(ctx, client, s.balancers)
+	if err != nil {
+		return err
+	}
+	report := statusReport{Nodes: nodeReports(fleet.nodes()), Notes: fleet.notes()}
+	a.readStoreVersion(ctx, s, &report)
+	if s.format == formatJSON {
+		return printJSON(a.Stdout, report)
+	}
+	return a.printStatus(report)
+}
+
+// readStoreVersion reads the version in the store, if the settings name one.
+func (a *App) readStoreVersion(ctx context.Context, s *settings, report *statusReport) {
+	if s.requireStore() != nil {
+		return
+	}
+	session := a.newSession(ctx, s)
+	defer session.close()
+	config, err := loadConfig(session.ctx, session.store)
+	if err != nil {
+		report.StoreError = err.Error()
+		return
+	}
+	report.StoreVersion = &config.Version
+}
+
+func nodeReports(nodes []fleetNode) []nodeReport {
+	reports := make([]nodeReport, len(nodes))
+	for i, n := range nodes {
+		report := nodeReport{Member: n.Member, Answered: n.status != nil}
+		report.ConfigVersion = 0
+		if n.known {
+			report.ConfigVersion = n.version
+		}
+		if n.status != nil {
+			report.Out, report.Stopping, report.Peers = n.status.Out, n.status.Stopping, n.status.Peers
+		}
+		if n.silence != nil {
+			report.Error = n.silence.Error()
+		}
+		reports[i] = report
+	}
+	return reports
+}
+
+func (a *App) printStatus(report statusReport) error {
+	t := newTable("ROLE", "NODE", "STATE", "DOMAIN", "VERSION", "SERVICE", "TARGET", "SLOTS", "ADMIN")
+	for _, n := range report.Nodes {
+		t.add(string(n.Role), string(n.Node), n.stateText(), string(n.Domain), versionText(n.ConfigVersion),
+			string(n.Service), string(n.Target), countText(n.Slots), n.Admin.String())
+	}
+	if err := t.print(a.Stdout); err != nil {
+		return err
+	}
+	a.printNotes(report.Notes)
+	return a.printStoreVersion(report)
+}
+
+func (a *App) printStoreVersion(report statusReport) error {
+	switch {
+	case report.StoreVersion != nil:
+		held := 0
+		for _, n := range report.Nodes {
+			if n.ConfigVersion >= *report.StoreVersion {
+				held++
+			}
+		}
+		_, err := fmt.Fprintf(a.Stdout, "version %d in the store; %d of %d nodes hold it\n", *report.StoreVersion, held, len(report.Nodes))
+		return err
+	case report.StoreError != "":
+		_, err := fmt.Fprintf(a.Stdout, "the store did not answer: %s\n", report.StoreError)
+		return err
+	}
+	return nil
+}
+
+// stateText prints a node's state and what is remarkable about it.
+func (n *nodeReport) stateText() string {
+	text := string(n.State)
+	if n.Stopping {
+		text += ",stopping"
+	}
+	if n.Out {
+		text += ",out"
+	}
+	if n.Error != "" {
+		text += ",silent"
+	}
+	return text
+}
+
+// versionText prints a version, or nothing if it is not known.
+func versionText(version uint64) string {
+	if version == 0 {
+		return ""
+	}
+	return strconv.FormatUint(version, 10)
+}
+
+// countText prints a count, or nothing if it is zero.
+func countText(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+// agentAddresses returns the admin addresses of the agents that are up and
+// hold a target of the service, or of any service if the name is empty.
+func agentAddresses(nodes []fleetNode, service model.ServiceName) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, n := range nodes {
+		if n.Role == adminapi.RoleAgent && (service == "" || n.Service == service) {
+			out = append(out, n.Admin)
+		}
+	}
+	return out
+}
