Refuse empty files and balancers of other clusters

Cause: a failed program leaves an empty print, and applying it would have removed every service. A balancer of another cluster, or nodes that outlived a restored store, hold higher versions, and the wait took them for up to date. Names in the file were narrower than those in the daemons' settings.

Ruled out: a flag to remove everything (a file with one failure domain does it); comparing version with equality (a later change of somebody else raises it rightly), so the store's version is read again when a node is ahead.

Names now have the settings' pattern. Status carries the node's cluster; the admin server has yet to fill it in. Conclusion: go test ./operator/... ./internal/ctl passes.

--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -38,6 +38,8 @@
 type Status struct {
 	Node model.NodeID `json:"node"`
 	Role Role         `json:"role"`
+	// Cluster is the name in the node's settings.
+	Cluster string `json:"cluster"`
 	// Incarnation is the start time of the process in nanoseconds since the
 	// Unix epoch, a string in JSON because it exceeds the exact range of many
 	// JSON readers.
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -73,20 +73,20 @@
 	if err := session.write(plan, cmd.String(flagNote), report); err != nil {
 		return err
 	}
-	return a.finishApply(ctx, session.settings, wait, report)
+	return session.finishApply(wait, report)
 }
 
 // finishApply reports the accepted change, waits, and reports where it is in
 // force.
-func (a *App) finishApply(ctx context.Context, s *settings, wait time.Duration, report *applyReport) error {
-	if s.format == formatTable {
-		if err := printApplied(a.Stdout, report); err != nil {
+func (s *session) finishApply(wait time.Duration, report *applyReport) error {
+	if s.settings.format == formatTable {
+		if err := printApplied(s.app.Stdout, report); err != nil {
 			return err
 		}
 	}
-	waitErr := a.waitInForce(ctx, s, wait, report.Version, &report.InForce)
-	if s.format == formatJSON {
-		return errors.Join(printJSON(a.Stdout, report), waitErr)
+	waitErr := s.waitInForce(wait, report.Version, &report.InForce)
+	if s.settings.format == formatJSON {
+		return errors.Join(printJSON(s.app.Stdout, report), waitErr)
 	}
 	return waitErr
 }
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -41,18 +41,24 @@
 // askFleet asks the named balancers for all members, then every other balancer
 // that these report as up for its own state, and last the agents that are up
 // and whose version no balancer knows.
-func askFleet(ctx context.Context, client *adminapi.Client, balancers []netip.AddrPort) (*fleet, error) {
+//
+// It fails with a *noAnswerError if no named balancer answered, and with an
+// *inputError if one belongs to another cluster.
+func askFleet(ctx context.Context, client *adminapi.Client, s *settings) (*fleet, error) {
 	f := &fleet{
 		records:  make(map[model.NodeID]adminapi.Member),
 		statuses: make(map[model.NodeID]*adminapi.Status),
 		versions: make(map[process]uint64),
 		silent:   make(map[netip.AddrPort]error),
 	}
-	f.ask(ctx, client, balancers, adminapi.MembersAll)
+	f.ask(ctx, client, s.balancers, adminapi.MembersAll)
 	if len(f.statuses) == 0 {
-		return nil, f.noAnswer(balancers)
+		return nil, f.noAnswer(s.balancers)
 	}
-	f.ask(ctx, client, f.unaskedBalancers(balancers), adminapi.MembersNone)
+	if err := f.checkCluster(s.cluster); err != nil {
+		return nil, err
+	}
+	f.ask(ctx, client, f.unaskedBalancers(s.balancers), adminapi.MembersNone)
 	f.ask(ctx, client, f.unknownAgents(), adminapi.MembersNone)
 	return f, nil
 }
@@ -66,6 +72,17 @@
 	return &noAnswerError{message}
 }
 
+// checkCluster checks that the nodes that answered belong to the cluster, as
+// far as both are known. Versions of two clusters can't be compared.
+func (f *fleet) checkCluster(cluster string) error {
+	for _, s := range f.statuses {
+		if cluster != "" && s.Cluster != "" && s.Cluster != cluster {
+			return inputErrorf("balancer %s belongs to cluster %q, not to %q", s.Node, s.Cluster, cluster)
+		}
+	}
+	return nil
+}
+
 // ask asks the addresses and takes their answers.
 func (f *fleet) ask(ctx context.Context, client *adminapi.Client, addresses []netip.AddrPort, members adminapi.MemberFilter) {
 	answers := adminapi.FanOut(ctx, addresses, func(ctx context.Context, node netip.AddrPort) (*adminapi.Status, error) {
@@ -185,6 +202,18 @@
 	return out
 }
 
+// newest returns the node that is up with the highest version.
+func (f *fleet) newest() (model.NodeID, uint64) {
+	var node model.NodeID
+	var version uint64
+	for _, n := range f.nodes() {
+		if n.version > version {
+			node, version = n.Node, n.version
+		}
+	}
+	return node, version
+}
+
 // answerOf returns the node's own answer if it is of the recorded process.
 func (f *fleet) answerOf(m adminapi.Member) *adminapi.Status {
 	if s := f.statuses[m.Node]; s != nil && s.Incarnation == m.Incarnation {
--- a/internal/ctl/flows.go
+++ b/internal/ctl/flows.go
@@ -85,7 +85,7 @@
 func askFlows(ctx context.Context, s *settings, service model.ServiceName, limit int) (*flowsReport, error) {
 	client := adminapi.NewClient(0)
 	defer client.Close()
-	fleet, err := askFleet(ctx, client, s.balancers)
+	fleet, err := askFleet(ctx, client, s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/operational.go
+++ b/internal/ctl/operational.go
@@ -63,7 +63,7 @@
 			return err
 		}
 	}
-	waitErr := a.waitInForce(ctx, session.settings, wait, report.Version, &report.InForce)
+	waitErr := session.waitInForce(wait, report.Version, &report.InForce)
 	if session.settings.format == formatJSON {
 		return errors.Join(printJSON(a.Stdout, report), waitErr)
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -55,12 +55,12 @@
 	}
 	client := adminapi.NewClient(0)
 	defer client.Close()
-	fleet, err := askFleet(ctx, client, s.balancers)
+	fleet, err := askFleet(ctx, client, s)
 	if err != nil {
 		return err
 	}
 	report := statusReport{Nodes: nodeReports(fleet.nodes()), Notes: fleet.notes()}
-	a.readStoreVersion(ctx, s, &report)
+	a.readStoreVersion(ctx, s, fleet, &report)
 	if s.format == formatJSON {
 		return printJSON(a.Stdout, report)
 	}
@@ -68,18 +68,22 @@
 }
 
 // readStoreVersion reads the version in the store, if the settings name one.
-func (a *App) readStoreVersion(ctx context.Context, s *settings, report *statusReport) {
+func (a *App) readStoreVersion(ctx context.Context, s *settings, f *fleet, report *statusReport) {
 	if s.requireStore() != nil {
 		return
 	}
 	session := a.newSession(ctx, s)
 	defer session.close()
-	config, err := loadConfig(session.ctx, session.store)
+	node, newest := f.newest()
+	version, err := session.version(newest)
 	if err != nil {
 		report.StoreError = err.Error()
 		return
 	}
-	report.StoreVersion = &config.Version
+	report.StoreVersion = &version
+	if newest > version {
+		report.Notes = append(report.Notes, aheadOfStore(node, newest, version))
+	}
 }
 
 func nodeReports(nodes []fleetNode) []nodeReport {
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -47,13 +47,26 @@
 	return configstore.New(kv, s.Cluster)
 }
 
-// loadConfig reads the whole configuration. While the store does not answer,
-// it tries again until the context ends.
-func loadConfig(ctx context.Context, s ConfigStore) (*model.Config, error) {
-	snapshot, err := s.Load(ctx, 0)
+// version reads the version in the store. The objects after the given version
+// come with it.
+func (s *session) version(since uint64) (uint64, error) {
+	snapshot, err := load(s.ctx, s.store, since)
+	return snapshot.Version, err
+}
+
+// load reads the objects that changed after the version. While the store does
+// not answer, it tries again until the context ends.
+func load(ctx context.Context, s ConfigStore, since uint64) (configstore.Snapshot, error) {
+	snapshot, err := s.Load(ctx, since)
 	for errors.Is(err, store.ErrUnavailable) && sleep(ctx, loadInterval) {
-		snapshot, err = s.Load(ctx, 0)
+		snapshot, err = s.Load(ctx, since)
 	}
+	return snapshot, err
+}
+
+// loadConfig reads the whole configuration, as load does.
+func loadConfig(ctx context.Context, s ConfigStore) (*model.Config, error) {
+	snapshot, err := load(ctx, s, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -25,6 +25,9 @@
 	Notes []string `json:"notes,omitempty"`
 	// WaitedMilliseconds is how long the command waited.
 	WaitedMilliseconds int64 `json:"waited_milliseconds"`
+	// newestNode is the node with the highest version of all.
+	newestNode    model.NodeID
+	newestVersion uint64
 }
 
 // laggingNode is a node that is up and not known to hold the version.
@@ -49,7 +52,7 @@
 // Error lists the lagging nodes.
 func (e *notInForceError) Error() string {
 	if e.cause != nil {
-		return fmt.Sprintf("version %d is accepted, but it can't be told where it is in force: %s", e.version, e.cause)
+		return fmt.Sprintf("version %d is accepted, but not known to be in force: %s", e.version, e.cause)
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "version %d is accepted, but after %s it is not in force on %d nodes:", e.version, e.wait, len(e.lagging))
@@ -76,23 +79,53 @@
 // waitInForce waits until the version is in force on every node that is up,
 // and prints the outcome if the format is a table. It fails with a
 // *notInForceError. A wait of zero does nothing.
-func (a *App) waitInForce(ctx context.Context, s *settings, wait time.Duration, version uint64, out **forceReport) error {
+func (s *session) waitInForce(wait time.Duration, version uint64, out **forceReport) error {
 	if wait == 0 {
 		return nil
 	}
-	report, err := a.pollInForce(ctx, s, wait, version)
+	report, err := s.pollInForce(wait, version)
 	*out = report
 	if err != nil {
 		return err
 	}
-	if s.format != formatTable {
+	if err := s.checkAhead(wait, version, report); err != nil {
+		return err
+	}
+	if s.settings.format != formatTable {
 		return nil
 	}
-	_, err = fmt.Fprintf(a.Stdout, "version %d is in force on all %d nodes\n", version, report.Nodes)
-	a.printNotes(report.Notes)
+	_, err = fmt.Fprintf(s.app.Stdout, "version %d is in force on all %d nodes\n", version, report.Nodes)
+	s.app.printNotes(report.Notes)
 	return err
 }
 
+// checkAhead checks that no node holds a version that the store does not
+// have. Such a node would never take the accepted one, because versions only
+// rise.
+func (s *session) checkAhead(wait time.Duration, version uint64, report *forceReport) error {
+	if report.newestVersion <= version {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.parent, s.settings.timeout)
+	defer cancel()
+	snapshot, err := load(ctx, s.store, report.newestVersion)
+	if err != nil {
+		return &notInForceError{version: version, wait: wait, cause: err}
+	}
+	if report.newestVersion <= snapshot.Version {
+		return nil
+	}
+	report.InForce = false
+	cause := errors.New(aheadOfStore(report.newestNode, report.newestVersion, snapshot.Version))
+	return &notInForceError{version: version, wait: wait, cause: cause}
+}
+
+// aheadOfStore says that a node holds a version which the store lacks.
+func aheadOfStore(node model.NodeID, held, stored uint64) string {
+	return fmt.Sprintf("node %s holds version %d, but the store has only version %d: "+
+		"it is another cluster's node, or the store was restored to an older state", node, held, stored)
+}
+
 // printNotes writes what an answer leaves out.
 func (a *App) printNotes(notes []string) {
 	for _, note := range notes {
@@ -101,16 +134,16 @@
 }
 
 // pollInForce asks the nodes until all hold the version or the wait is over.
-func (a *App) pollInForce(ctx context.Context, s *settings, wait time.Duration, version uint64) (*forceReport, error) {
+func (s *session) pollInForce(wait time.Duration, version uint64) (*forceReport, error) {
 	client := adminapi.NewClient(min(wait, adminapi.DefaultTimeout))
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(s.parent, wait)
 	defer cancel()
 	start := time.Now()
 	var last *forceReport
 	failure := errors.New("the wait was too short for an answer")
 	for {
-		fleet, err := askFleet(ctx, client, s.balancers)
+		fleet, err := askFleet(ctx, client, s.settings)
 		// A round that the end of the wait cut off says nothing about the nodes.
 		if ctx.Err() == nil {
 			failure = err
@@ -122,7 +155,7 @@
 		if last != nil && last.InForce {
 			return last, nil
 		}
-		if !sleep(ctx, a.PollInterval) {
+		if !sleep(ctx, s.app.PollInterval) {
 			return last, notInForce(version, wait, last, failure)
 		}
 	}
@@ -152,6 +185,7 @@
 		report.Lagging = append(report.Lagging, n.lagging())
 	}
 	report.InForce = len(report.Lagging) == 0
+	report.newestNode, report.newestVersion = f.newest()
 	return report
 }
 
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -19,6 +19,7 @@
 // Configuration collects regions, failure domains and services, and what is
 // wrong with them. The zero value is not ready; use New.
 type Configuration struct {
+	origin   findings.Place
 	header   []string
 	domains  []*Domain
 	services []*Service
@@ -28,13 +29,13 @@
 // New returns an empty configuration. The header is printed as comments at
 // the top of the file, one line each.
 func New(header ...string) *Configuration {
-	return &Configuration{header: header}
+	return &Configuration{origin: callerPlace(1), header: header}
 }
 
 // File returns the declared file, or a *findings.Error with everything that
 // is wrong, each finding with the place of the call that declared it.
 func (c *Configuration) File() (*declaration.File, error) {
-	file := new(declaration.File)
+	file := &declaration.File{Origin: c.origin}
 	for _, d := range c.domains {
 		file.Domains = append(file.Domains, d.declared)
 	}
--- a/operator/declaration/check.go
+++ b/operator/declaration/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"path"
+	"regexp"
 	"strings"
 	"time"
 
@@ -17,6 +18,9 @@
 		services: make(map[string]findings.Place),
 		ports:    make(map[uint16]portUse),
 	}
+	if len(f.Domains) == 0 && len(f.Services) == 0 {
+		c.found.Addf(f.Origin, "declares nothing; a file is the whole declaration, so it would remove every service")
+	}
 	for i := range f.Domains {
 		c.domain(&f.Domains[i], i)
 	}
@@ -202,7 +206,8 @@
 	return p.String()
 }
 
-const nameCharacters = "abcdefghijklmnopqrstuvwxyz0123456789-"
+// namePattern is the form of names, the same as in the daemons' settings.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
 // checkName returns what is wrong with a name, or "".
 func checkName(name string) string {
@@ -211,18 +216,12 @@
 		return "is empty"
 	case len(name) > MaxNameBytes:
 		return fmt.Sprintf("has %d bytes; the limit is %d", len(name), MaxNameBytes)
-	case strings.ContainsFunc(name, notNameCharacter):
-		return fmt.Sprintf("%q may contain only a-z, 0-9 and -", name)
-	case strings.HasPrefix(name, "-") || strings.HasSuffix(name, "-"):
-		return fmt.Sprintf("%q may not start or end with -", name)
+	case !namePattern.MatchString(name):
+		return fmt.Sprintf("%q is not a name; want letters, digits, dots, hyphens and underscores, a letter or digit first", name)
 	}
 	return ""
 }
 
-func notNameCharacter(r rune) bool {
-	return !strings.ContainsRune(nameCharacters, r)
-}
-
 // checkAddress returns what is wrong with a service's address, or "".
 func checkAddress(address netip.AddrPort) string {
 	ip := address.Addr()
--- a/operator/declaration/file.go
+++ b/operator/declaration/file.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/operator/findings"
 )
 
 // Mode selects how a service's flows are carried.
@@ -19,6 +21,8 @@
 type File struct {
 	Domains  []Domain
 	Services []Service
+	// Origin is where the file begins.
+	Origin findings.Place
 }
 
 // Domain is a declared failure domain.
--- a/operator/declaration/keys.go
+++ b/operator/declaration/keys.go
@@ -69,8 +69,8 @@
 
 // Keys lists every key of the file, in the order in which Print writes them.
 func Keys() []KeyInfo {
-	name := fmt.Sprintf("1 to %d of a-z, 0-9 and inner -; unique", MaxNameBytes)
-	region := fmt.Sprintf("1 to %d of a-z, 0-9 and inner -", MaxNameBytes)
+	name := fmt.Sprintf("1 to %d letters, digits, dots, hyphens and underscores; unique", MaxNameBytes)
+	region := fmt.Sprintf("1 to %d letters, digits, dots, hyphens and underscores", MaxNameBytes)
 	patterns := fmt.Sprintf("1 to %d patterns of 1 to %d bytes", MaxPatterns, MaxPatternBytes)
 	return []KeyInfo{
 		{TableDomain, KeyName, "string", "", name},
--- a/operator/declaration/parse.go
+++ b/operator/declaration/parse.go
@@ -21,6 +21,9 @@
 		return nil, found.Err()
 	}
 	file := decode(doc, &found)
+	if len(doc.tables) == 0 && found.Err() != nil {
+		return nil, found.Err()
+	}
 	found.Append(Check(file))
 	if err := found.Err(); err != nil {
 		return nil, err
@@ -30,7 +33,7 @@
 
 // decode converts the tables into typed objects and applies the defaults.
 func decode(doc document, found *findings.List) *File {
-	file := new(File)
+	file := &File{Origin: findings.Place{File: doc.file, Line: 1}}
 	for _, t := range doc.tables {
 		switch t.name {
 		case TableDomain:
