Shorten amaranthctl's texts and drop unused code

Cause: a read-through. Removed objects printed all their fields on one line, counts read "1 changes", and DiffConfigs had no caller.

Ruled out: dropping the removed fields from JSON too (operators restore from them). Conclusion: go test ./internal/ctl ./internal/declare passes with the reviewed golden files; no check was dropped but that of DiffConfigs itself.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -184,7 +184,7 @@
 		_, err := fmt.Fprintf(w, "no changes against version %d\n", version)
 		return err
 	}
-	if _, err := fmt.Fprintf(w, "%d changes against version %d:\n", len(changes), version); err != nil {
+	if _, err := fmt.Fprintf(w, "%s against version %d:\n", count(len(changes), "change"), version); err != nil {
 		return err
 	}
 	for i := range changes {
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -38,7 +38,7 @@
 	}
 	objects, err := readDeclared(args[0])
 	if err != nil {
-		return fmt.Errorf("%d findings in %s:\n%w", findingCount(err), args[0], err)
+		return fmt.Errorf("%s in %s:\n%w", count(findingCount(err), "finding"), args[0], err)
 	}
 	report := checkReport{File: args[0]}
 	for _, o := range objects {
@@ -52,7 +52,8 @@
 	if s.format == formatJSON {
 		return printJSON(a.Stdout, report)
 	}
-	_, err = fmt.Fprintf(a.Stdout, "%s: ok, %d failure domains, %d services\n", report.File, report.Domains, report.Services)
+	_, err = fmt.Fprintf(a.Stdout, "%s: ok, %s, %s\n", report.File,
+		count(report.Domains, "failure domain"), count(report.Services, "service"))
 	return err
 }
 
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -6,6 +6,11 @@
 	"io/fs"
 )
 
+// inputError reports a bad argument, flag or setting.
+type inputError struct{ message string }
+
+func (e *inputError) Error() string { return e.message }
+
 func inputErrorf(format string, args ...any) error {
 	return &inputError{fmt.Sprintf(format, args...)}
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -33,11 +33,6 @@
 	ExitNoAnswer = 7
 )
 
-// inputError reports a bad argument, flag or setting.
-type inputError struct{ message string }
-
-func (e *inputError) Error() string { return e.message }
-
 // exitCode returns the exit code for the error of a command.
 func exitCode(err error) int {
 	var (
--- a/internal/ctl/flows.go
+++ b/internal/ctl/flows.go
@@ -146,6 +146,6 @@
 	if r.Truncated {
 		more = "; there are more"
 	}
-	_, err := fmt.Fprintf(a.Stdout, "%d flows listed%s; %d agents hold %d in all\n", len(r.Flows), more, len(r.Agents), r.Held)
+	_, err := fmt.Fprintf(a.Stdout, "%s listed%s; %s hold %d in all\n", count(len(r.Flows), "flow"), more, count(len(r.Agents), "agent"), r.Held)
 	return err
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -68,6 +69,14 @@
 	return at.UTC().Format(time.RFC3339)
 }
 
+// count prints a number of things: "1 node", "2 nodes".
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
+
 // yesNo prints a boolean.
 func yesNo(b bool) string {
 	if b {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -127,7 +127,7 @@
 				held++
 			}
 		}
-		_, err := fmt.Fprintf(a.Stdout, "version %d in the store; %d of %d nodes hold it\n", *report.StoreVersion, held, len(report.Nodes))
+		_, err := fmt.Fprintf(a.Stdout, "version %d in the store; %d of %s hold it\n", *report.StoreVersion, held, count(len(report.Nodes), "node"))
 		return err
 	case report.StoreError != "":
 		_, err := fmt.Fprintf(a.Stdout, "the store did not answer: %s\n", report.StoreError)
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -55,7 +55,7 @@
 		return fmt.Sprintf("version %d is accepted, but not known to be in force: %s", e.version, e.cause)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "version %d is accepted, but after %s it is not in force on %d nodes:", e.version, e.wait, len(e.lagging))
+	fmt.Fprintf(&b, "version %d is accepted, but after %s it is not in force on %s:", e.version, e.wait, count(len(e.lagging), "node"))
 	for _, n := range e.lagging {
 		fmt.Fprintf(&b, "\n  %s %s (%s): %s", n.Role, n.Node, n.State, n.Reason)
 	}
@@ -94,7 +94,7 @@
 	if s.settings.format != formatTable {
 		return nil
 	}
-	_, err = fmt.Fprintf(s.app.Stdout, "version %d is in force on all %d nodes\n", version, report.Nodes)
+	_, err = fmt.Fprintf(s.app.Stdout, "version %d is in force on %s, all that are up\n", version, count(report.Nodes, "node"))
 	s.app.printNotes(report.Notes)
 	return err
 }
--- a/internal/declare/change.go
+++ b/internal/declare/change.go
@@ -45,10 +45,11 @@
 // a tombstone if the change removes the object.
 func (c *Change) Object() model.Object { return c.object }
 
-// String returns the change as one line.
+// String returns the change as one line. The fields of a removed object are
+// left out.
 func (c *Change) String() string {
 	head := fmt.Sprintf("%s %s %s", c.Action, c.Kind, c.Name)
-	if len(c.Fields) == 0 {
+	if len(c.Fields) == 0 || c.Action == Removed {
 		return head
 	}
 	parts := make([]string, len(c.Fields))
@@ -60,11 +61,8 @@
 
 // String returns the field with its old and new value.
 func (f FieldChange) String() string {
-	switch {
-	case f.Before == "":
+	if f.Before == "" {
 		return f.Field + " " + f.After
-	case f.After == "":
-		return f.Field + " was " + f.Before
 	}
 	return f.Field + " " + f.Before + " -> " + f.After
 }
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -80,9 +80,6 @@
 	if removed := after.Objects[model.ObjectKey{Kind: model.KindService, Name: "lease-desk"}]; !removed.Deleted() {
 		t.Error("the removed service is no tombstone")
 	}
-	if len(DiffConfigs(current, after)) != len(changes) || len(DiffConfigs(after, after)) != 0 {
-		t.Errorf("whole configurations differ by %v", DiffConfigs(current, after))
-	}
 }
 
 func TestRemovedDomainStillNamed(t *testing.T) {
--- a/internal/declare/diff.go
+++ b/internal/declare/diff.go
@@ -34,29 +34,6 @@
 	return changes
 }
 
-// DiffConfigs returns the changes of all kinds that lead from one
-// configuration to another, in key order.
-func DiffConfigs(before, after *model.Config) []Change {
-	var changes []Change
-	for key, o := range after.Objects {
-		old := before.Objects[key]
-		o.Key, old.Key = key, key
-		if change, ok := Compare(&old, &o); ok {
-			changes = append(changes, change)
-		}
-	}
-	for key, old := range before.Objects {
-		if _, ok := after.Objects[key]; ok {
-			continue
-		}
-		if change, ok := Compare(&old, &model.Object{Key: key}); ok {
-			changes = append(changes, change)
-		}
-	}
-	slices.SortFunc(changes, func(a, b Change) int { return a.Key().Compare(b.Key()) })
-	return changes
-}
-
 // Compare returns the change that leads from one object to another of the
 // same key, and false if they are equal. Either may be a tombstone.
 func Compare(before, after *model.Object) (Change, bool) {
