--- a/internal/core/directory/placing.go
+++ b/internal/core/directory/placing.go
@@ -28,8 +28,7 @@
 	c.entries[flow] = e
 	c.placing[flow] = e
 	c.keep(t, e, payload)
-	settled := t.Now.Sub(v.Changed) >= c.options.SettleWindow
-	if opener && settled {
+	if opener && c.settled(t, v) {
 		c.startOffers(t, flow, e)
 		return
 	}
@@ -55,10 +54,9 @@
 		t.Emit(core.Count{Name: "datagram_pending_full", Delta: 1})
 		return
 	}
-	kept := bytes.Clone(payload)
-	e.pending = append(e.pending, kept)
-	if v := c.view(t); e.opener == nil && v != nil && opensFlow(v.Mode, payload) {
-		e.opener = kept
+	e.pending = append(e.pending, bytes.Clone(payload))
+	if v := c.view(t); v != nil && opensFlow(v.Mode, payload) {
+		e.opens = true
 	}
 }
 
@@ -86,6 +84,7 @@
 		}
 	}
 	e.attempts = 0
+	e.probed, e.answered = len(e.awaiting), 0
 	c.sendProbes(t, flow, e)
 }
 
@@ -105,7 +104,7 @@
 
 // probed ends a search in which no candidate knew a holder.
 func (c *Controller) probed(t *core.Turn, flow model.FlowKey, e *entry) {
-	if e.opener == nil {
+	if !e.opens {
 		t.Emit(core.Count{Name: "datagram_unknown_flow", Delta: int64(len(e.pending))})
 		c.remove(flow)
 		return
@@ -178,9 +177,9 @@
 			return
 		}
 		if c.load(t).capacity > 0 {
-			pending := e.pending
 			c.remove(flow)
-			c.hold(t, flow, pending)
+			c.hold(t, flow)
+			c.deliverAll(t, flow, e.pending)
 			return
 		}
 	}
@@ -192,13 +191,13 @@
 	e.attempts++
 	e.retryAt = t.Now.Add(c.options.Retry)
 	c.send(t, e.offered.data, flow, &placementpb.Placement{Body: &placementpb.Placement_Offer{
-		Offer: &placementpb.Offer{Flow: flowMessage(flow), Epoch: e.epoch, Datagram: e.opener},
+		Offer: &placementpb.Offer{Flow: flowMessage(flow), Epoch: e.epoch},
 	}})
 }
 
 // found ends a placement with a holder and passes on what was kept.
 func (c *Controller) found(t *core.Turn, flow model.FlowKey, e *entry, holder model.NodeID, kind wire.Kind, p phase) {
-	data, ok := c.addressOf(t, holder)
+	m, ok := c.member(t, holder)
 	if !ok {
 		return
 	}
@@ -206,10 +205,10 @@
 	pending := e.pending
 	e.phase = p
 	e.holder = holder
-	e.incarnation = t.Board.Members.Records[holder].Incarnation
-	e.awaiting, e.choices, e.pending, e.opener = nil, nil, nil, nil
+	e.incarnation = m.Incarnation
+	e.awaiting, e.choices, e.pending = nil, nil, nil
 	for _, payload := range pending {
-		c.forward(t, data, kind, flow, 0, payload)
+		c.forward(t, m.Data, kind, flow, 0, payload)
 	}
 }
 
@@ -233,14 +232,22 @@
 			delete(e.awaiting, node)
 		}
 	}
-	// In mode flow a silent candidate may hold the flow, and nothing in the
-	// datagrams would tell; the search waits until it answers or is removed.
-	if v := c.view(t); e.attempts >= c.options.Attempts && v != nil && v.Mode != model.ModeFlow {
+	if e.attempts >= c.options.Attempts && c.maySkipSilent(t, e) {
 		clear(e.awaiting)
 	}
 	c.sendProbes(t, flow, e)
 }
 
+// maySkipSilent reports whether a search may end without the candidates that
+// stay silent. In mode flow one of them may hold the flow, and nothing in the
+// datagrams would tell, so the search waits until it answers or is removed. In
+// mode request the flow is new to its caller; but a home to which less than half
+// of the candidates answer may itself be the one that the others ignore.
+func (c *Controller) maySkipSilent(t *core.Turn, e *entry) bool {
+	v := c.view(t)
+	return v != nil && v.Mode != model.ModeFlow && 2*e.answered >= e.probed
+}
+
 func (c *Controller) retryOffer(t *core.Turn, flow model.FlowKey, e *entry) {
 	if e.attempts < c.options.Attempts {
 		c.sendOffer(t, flow, e)
