--- a/internal/agent/front/request.go
+++ b/internal/agent/front/request.go
@@ -114,6 +114,9 @@
 // runAtTarget sends the request to the target.
 func (c *call) runAtTarget(ctx context.Context, e core.GrantRequest) bool {
 	a := c.front.try(ctx, c.front.targetHop(e.Deadline), c.r, c.body)
+	if a.outcome == core.OutcomeNotSent && ctx.Err() != nil {
+		c.cancel(a)
+	}
 	stored, err := c.pass(a, string(c.front.target.Load().Name))
 	c.front.opts.Decider.Submit(core.RequestFinished{
 		ID: c.id, Outcome: a.outcome, Status: a.status(), Latency: a.latency, Answer: stored,
@@ -128,6 +131,9 @@
 // handOver sends the request to another agent.
 func (c *call) handOver(ctx context.Context, e core.HandOver) bool {
 	a := c.front.try(ctx, c.front.peerHop(e, c.arrived.Flow), c.r, c.body)
+	if a.outcome == core.OutcomeNotSent && ctx.Err() != nil {
+		c.cancel(a)
+	}
 	stored, err := c.pass(a, "")
 	c.front.opts.Decider.Submit(core.HandOverFinished{
 		ID: c.id, Peer: e.To, Outcome: a.outcome, Status: a.status(), Answer: stored,
@@ -136,6 +142,13 @@
 	return c.settle(a, err)
 }
 
+// cancel ends a request whose caller left before anything was sent.
+func (c *call) cancel(a *attempt) {
+	c.front.lingering.Go(a.close)
+	c.front.opts.Decider.Submit(core.RequestCancelled{ID: c.id})
+	panic(http.ErrAbortHandler)
+}
+
 // pass streams the attempt's answer, if there is one to pass on, and settles
 // the attempt's outcome.
 func (c *call) pass(a *attempt, target string) (*core.StoredAnswer, error) {
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -127,9 +127,10 @@
 	if r == nil || r.phase == phaseEnded {
 		return
 	}
-	c.freeSlot(r)
-	c.report(r, core.KeyedChange{State: core.KeyedNotRun})
-	c.forget(r)
+	if r.phase == phaseRunning {
+		c.freeSlot(r)
+	}
+	c.end(r, core.KeyedChange{State: core.KeyedNotRun})
 }
 
 // finished handles the end of an attempt at the target.
@@ -144,17 +145,27 @@
 	})
 }
 
-// observe learns what the target bears.
+// observe learns what the target bears. An attempt that the deadline or the
+// caller ended says something only if it took long.
 func (c *Controller) observe(t *core.Turn, r *request, ev core.RequestFinished) {
 	switch ev.Outcome {
 	case core.OutcomeAnswered:
 		c.rest = 0
 		c.observeAnswer(t, r, ev)
-	case core.OutcomeNotSent:
+	case core.OutcomeAborted:
+		c.limiter.cutShort(t.Now, t.Now.Sub(r.sent))
+	case core.OutcomeNotSent, core.OutcomeUnknown:
+		if !t.Now.Before(r.deadline) {
+			c.limiter.cutShort(t.Now, t.Now.Sub(r.sent))
+			return
+		}
 		c.limiter.fall(t.Now)
+		if ev.Outcome == core.OutcomeUnknown {
+			return
+		}
 		c.rest = min(max(2*c.rest, minTargetRest), maxTargetRest)
 		c.restUntil = t.Now.Add(c.rest)
-	case core.OutcomeShed, core.OutcomeUnknown:
+	case core.OutcomeShed:
 		c.limiter.fall(t.Now)
 	}
 }
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -25,7 +25,7 @@
 	// the fall is tried again after a time that doubles with each fall, from
 	// minHold up to maxHold.
 	minHold = 500 * time.Millisecond
-	maxHold = 16 * time.Second
+	maxHold = 8 * time.Second
 	// staleAfter is how long a limit stands without any answer.
 	staleAfter = 30 * time.Second
 )
@@ -78,24 +78,27 @@
 
 // mayGrow reports whether the target may be tried with one request more.
 func (l *limiter) mayGrow(now time.Time) bool {
-	if l.limit >= l.slots || now.Before(l.rest) {
+	if l.limit >= l.slots {
 		return false
 	}
 	return l.limit < l.ceiling || !now.Before(l.holdUntil)
 }
 
-// grow raises the limit after as many successes as it allows at a time.
-func (l *limiter) grow() {
+// success counts an answer in good time with the limit in use. As many of them
+// as the limit allows at a time confirm it, and raise it.
+func (l *limiter) success(now time.Time) {
 	l.successes++
 	if l.successes < l.limit {
 		return
 	}
 	l.successes = 0
-	l.limit++
 	if l.limit > l.ceiling {
 		l.ceiling = l.limit
 		l.hold /= 2
 	}
+	if l.mayGrow(now) {
+		l.limit++
+	}
 }
 
 // answered learns from an answer. Full reports that the limit was in use when
@@ -109,8 +112,8 @@
 	l.slow = 0
 	calm := l.baseline == 0 || latency <= bound(l.baseline, growthLatency)
 	l.learn(latency)
-	if full && calm && l.mayGrow(now) {
-		l.grow()
+	if full && calm && !now.Before(l.rest) {
+		l.success(now)
 	}
 }
 
@@ -125,6 +128,13 @@
 	}
 }
 
+// cutShort learns from an attempt that was ended before the answer.
+func (l *limiter) cutShort(now time.Time, age time.Duration) {
+	if l.isSlow(age) {
+		l.slowAnswer(now, age)
+	}
+}
+
 // isSlow reports whether a latency is far above the baseline.
 func (l *limiter) isSlow(latency time.Duration) bool {
 	return l.baseline > 0 && latency > bound(l.baseline, slowLatency)
