Wire the daemons: balancer, agent, command line and the demo

Cause: the parts existed and nothing ran end to end.

Ruled out: one daemon binary per role (the house style names two binaries); fx inside the core (the core has no I/O).

Before: no process ran.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,10 @@
 
 proto:
 	protoc --go_out=. --go_opt=module=amaranthwheel.example/amaranthwheel internal/*pb/*.proto
+
+# Runs the whole path as separate processes; see standin/demo/demo.sh.
+demo: build
+	standin/demo/demo.sh $(BIN)
+
+measure:
+	go run ./standin/cmd/measure
--- a/cmd/amaranthwheel/main.go
+++ b/cmd/amaranthwheel/main.go
@@ -2,4 +2,22 @@
 // agent beside a target.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"amaranthwheel.example/amaranthwheel/internal/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := daemon.Command(os.Stdout, os.Stderr).Run(ctx, os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(daemon.ExitCode(err))
+}
--- /dev/null
+++ b/internal/agent/report.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"net/http"
+
+	"amaranthwheel.example/amaranthwheel/internal/admin"
+	"amaranthwheel.example/amaranthwheel/internal/adminapi"
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/directory"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// adminNode describes the agent to the admin API.
+func (p *Process) adminNode(metrics http.Handler) admin.Node {
+	return admin.Node{
+		Inspector: p.base,
+		Status:    agentStatus,
+		Flows:     p.flows,
+		Explain:   p.explain,
+		Metrics:   metrics,
+	}
+}
+
+// agentStatus completes the admin API's status.
+func agentStatus(b *core.Board, s *adminapi.Status) {
+	s.Load = &adminapi.Load{
+		Limit: b.Load.Limit, Slots: b.Self.Member.Slots,
+		InFlight: b.Load.InFlight, Queued: b.Load.Queued, Cold: b.Load.Cold,
+	}
+	r := b.Requests
+	s.Requests = &adminapi.Requests{
+		Admitted: r.Admitted, Finished: r.Finished, RefusedNotRun: r.RefusedNotRun,
+		OutcomeUnknown: r.OutcomeUnknown, HandedOver: r.HandedOver,
+	}
+}
+
+func (p *Process) flows(b *core.Board, limit int) []adminapi.Flow {
+	var out []adminapi.Flow
+	for _, f := range p.directory.HeldFlows(limit) {
+		out = append(out, flowOf(b, f))
+	}
+	return out
+}
+
+func flowOf(b *core.Board, f directory.HeldFlow) adminapi.Flow {
+	return adminapi.Flow{
+		Caller: f.Flow.Caller, Service: b.Self.Member.Service,
+		Established: f.Established, Since: f.Since.UTC(), Home: f.Home,
+	}
+}
+
+// explain adds what the directory knows of a flow.
+func (p *Process) explain(b *core.Board, flow model.FlowKey, e *adminapi.Explanation) {
+	if f, ok := p.directory.Held(flow); ok {
+		held := flowOf(b, f)
+		e.Held = &held
+	}
+	if entry, ok := p.directory.Lookup(flow); ok {
+		e.Directory = &adminapi.DirectoryEntry{
+			Holder: entry.Holder, HolderIncarnation: entry.Incarnation,
+			HolderAdmin: b.Members.Records[entry.Holder].Admin,
+			Since:       entry.Since.UTC(), Established: entry.Established,
+		}
+	}
+}
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -15,6 +15,7 @@
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/core/routing"
 	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/process"
 	"amaranthwheel.example/amaranthwheel/internal/wire"
 )
 
@@ -41,6 +42,10 @@
 	listeners map[model.ServiceID]*listener
 	group     sync.WaitGroup
 
+	// OnOpener is called for datagrams that may open a flow, if it is set. It
+	// must be set before the first view.
+	OnOpener func(flow model.FlowKey, home model.NodeID)
+
 	// Counters are read by the metrics.
 	Counters Counters
 }
@@ -50,6 +55,18 @@
 	Forwarded, NoService, NoCandidate, Stale, TooLong, SendFailed atomic.Uint64
 }
 
+// byName returns the counters by metric name.
+func (c *Counters) byName() process.Counters {
+	return process.Counters{
+		"forwarder_forwarded":    &c.Forwarded,
+		"forwarder_no_service":   &c.NoService,
+		"forwarder_no_candidate": &c.NoCandidate,
+		"forwarder_stale":        &c.Stale,
+		"forwarder_too_long":     &c.TooLong,
+		"forwarder_send_failed":  &c.SendFailed,
+	}
+}
+
 // listener receives the datagrams of one service.
 type listener struct {
 	conn    *net.UDPConn
@@ -150,27 +167,30 @@
 	if !ok {
 		return
 	}
+	if f.OnOpener != nil && wire.OpensQUIC(buf[wire.HeaderSize:wire.HeaderSize+n]) {
+		f.OnOpener(flow, home.Node)
+	}
 	f.keys.Encode(buf, &header, n)
-	if _, err := f.data.WriteToUDPAddrPort(buf[:wire.HeaderSize+n], home); err != nil {
+	if _, err := f.data.WriteToUDPAddrPort(buf[:wire.HeaderSize+n], home.Data); err != nil {
 		f.Counters.SendFailed.Add(1)
 		return
 	}
 	f.Counters.Forwarded.Add(1)
 }
 
-// route returns the address of the flow's home and the header to send.
-func (f *Forwarder) route(flow model.FlowKey) (netip.AddrPort, wire.Header, bool) {
+// route returns the flow's home and the header to send.
+func (f *Forwarder) route(flow model.FlowKey) (*model.Member, wire.Header, bool) {
 	view := (*f.views.Load())[flow.Service]
 	if view == nil {
 		f.Counters.NoService.Add(1)
-		return netip.AddrPort{}, wire.Header{}, false
+		return nil, wire.Header{}, false
 	}
 	home := routing.Home(view, flow.Hash())
 	if home == nil {
 		f.Counters.NoCandidate.Add(1)
-		return netip.AddrPort{}, wire.Header{}, false
+		return nil, wire.Header{}, false
 	}
-	return home.Member.Data, wire.Header{
+	return &home.Member, wire.Header{
 		Kind: wire.KindPacket, Service: flow.Service, Caller: flow.Caller, View: view.Digest,
 	}, true
 }
--- a/internal/configstore/property_test.go
+++ b/internal/configstore/property_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "amaranthwheel.example/amaranthwheel/internal/fixedseed"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 	standin "amaranthwheel.example/amaranthwheel/standin/store"
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -28,7 +28,7 @@
 	// Service returns the service that an agent subscribes to, empty for a
 	// balancer. It is called from any goroutine.
 	Service func() model.ServiceName
-	// Logger receives the hub's log.
+	// Logger receives the hub's log, and carries its part.
 	Logger log.Logger
 	// Emit receives the hub's events. It is called from any goroutine and may
 	// block, but not forever: Close waits for it.
@@ -63,7 +63,6 @@
 
 // NewHub returns a hub without sessions.
 func NewHub(o Options) *Hub {
-	o.Logger = log.With(o.Logger, "part", "control")
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Hub{
 		options:   o,
--- a/internal/core/directory/placing.go
+++ b/internal/core/directory/placing.go
@@ -35,17 +35,9 @@
 	c.startProbe(t, v, flow, e)
 }
 
-// opensFlow reports whether a datagram may be the first of a flow. In mode
-// request that is a QUIC Initial packet (RFC 9000, section 17.2.2).
+// opensFlow reports whether a datagram may be the first of a flow.
 func opensFlow(mode model.Mode, payload []byte) bool {
-	const (
-		longHeaderTypeMask = 0xf0
-		initialPacket      = 0xc0
-	)
-	if mode == model.ModeFlow {
-		return true
-	}
-	return len(payload) > 0 && payload[0]&longHeaderTypeMask == initialPacket
+	return mode == model.ModeFlow || wire.OpensQUIC(payload)
 }
 
 // keep stores a datagram until the flow is placed.
--- a/internal/core/fleet/property_test.go
+++ b/internal/core/fleet/property_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/fleet"
+	_ "amaranthwheel.example/amaranthwheel/internal/fixedseed"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
--- /dev/null
+++ b/internal/obs/flow.go
@@ -0,0 +1,34 @@
+package obs
+
+import (
+	"context"
+	"encoding/binary"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// FlowSpan returns the span context that all nodes derive for a flow from its
+// key. Datagrams carry no trace context, so the hops of a flow meet in this
+// trace, and requests link to it.
+func FlowSpan(flow model.FlowKey) trace.SpanContext {
+	hash := flow.Hash()
+	var traceID trace.TraceID
+	binary.BigEndian.PutUint64(traceID[:8], hash)
+	binary.BigEndian.PutUint64(traceID[8:], uint64(flow.Service))
+	var spanID trace.SpanID
+	binary.BigEndian.PutUint64(spanID[:], hash)
+	return trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: traceID, SpanID: spanID, TraceFlags: trace.FlagsSampled, Remote: true,
+	})
+}
+
+// RecordFlow records that a flow passed a hop, as a span without duration.
+func RecordFlow(tracer trace.Tracer, name string, flow model.FlowKey, attributes ...attribute.KeyValue) {
+	ctx := trace.ContextWithSpanContext(context.Background(), FlowSpan(flow))
+	attributes = append(attributes, attribute.String("caller", flow.Caller.String()))
+	_, span := tracer.Start(ctx, name, trace.WithAttributes(attributes...))
+	span.End()
+}
--- a/internal/process/loop.go
+++ b/internal/process/loop.go
@@ -15,18 +15,21 @@
 // Loop feeds events to a node. Post and Inspect are safe for concurrent use.
 type Loop struct {
 	node     *core.Node
-	carryOut func(core.Effect)
+	carryOut func(*core.Board, core.Effect)
+	after    func(*core.Board)
 	events   chan core.Event
 	inspect  chan func(*core.Board)
 	done     chan struct{}
 }
 
-// NewLoop returns a loop that passes each effect of the node to carryOut, which
-// must not block on the loop itself.
-func NewLoop(node *core.Node, carryOut func(core.Effect)) *Loop {
+// NewLoop returns a loop that passes each effect of the node to carryOut, with
+// the board to read. carryOut must not block on the loop itself. After each step
+// the loop passes the board to after, before the effects are carried out.
+func NewLoop(node *core.Node, carryOut func(*core.Board, core.Effect), after func(*core.Board)) *Loop {
 	return &Loop{
 		node:     node,
 		carryOut: carryOut,
+		after:    after,
 		events:   make(chan core.Event, queueSize),
 		inspect:  make(chan func(*core.Board)),
 		done:     make(chan struct{}),
@@ -90,7 +93,9 @@
 }
 
 func (l *Loop) step(ev core.Event) {
-	for _, e := range l.node.Step(time.Now(), ev) {
-		l.carryOut(e)
+	effects := l.node.Step(time.Now(), ev)
+	l.after(l.node.Board())
+	for _, e := range effects {
+		l.carryOut(l.node.Board(), e)
 	}
 }
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -174,3 +174,13 @@
 	binary.BigEndian.PutUint64(buf[:], uint64(payload))
 	return siphash.Hash(k.k1, k.k0, buf[:])
 }
+
+// OpensQUIC reports whether a caller's datagram starts with a QUIC Initial
+// packet (RFC 9000, section 17.2.2).
+func OpensQUIC(payload []byte) bool {
+	const (
+		longHeaderTypeMask = 0xf0
+		initialPacket      = 0xc0
+	)
+	return len(payload) > 0 && payload[0]&longHeaderTypeMask == initialPacket
+}
--- a/internal/wire/header_test.go
+++ b/internal/wire/header_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "amaranthwheel.example/amaranthwheel/internal/fixedseed"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 	"amaranthwheel.example/amaranthwheel/internal/wire"
 )
