Decide membership, configuration, dissemination and the node's own record

Cause: balancers and agents need one view of members and configuration that survives pauses, restarts, partitions and outages of the store, within a few kilobytes a second for each node.

Conclusion: see the package comments and the failure tests of package dissemination, which wire whole nodes together.

--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -35,7 +35,7 @@
 		body := &controlpb.Digest{ConfigVersion: m.ConfigVersion, Members: m.Members}
 		return &controlpb.Frame{Body: &controlpb.Frame_Digest{Digest: body}}, nil
 	case core.Pull:
-		body := &controlpb.Pull{Since: m.Since, Members: m.Members}
+		body := &controlpb.Pull{Since: m.Since}
 		return &controlpb.Frame{Body: &controlpb.Frame_Pull{Pull: body}}, nil
 	case core.Subscribe:
 		body := &controlpb.Subscribe{Service: string(m.Service)}
@@ -46,6 +46,12 @@
 	case core.HeartbeatAck:
 		body := &controlpb.HeartbeatAck{Sequence: m.Sequence}
 		return &controlpb.Frame{Body: &controlpb.Frame_HeartbeatAck{HeartbeatAck: body}}, nil
+	case core.MemberPull:
+		body := &controlpb.MemberPull{Buckets: m.Buckets}
+		return &controlpb.Frame{Body: &controlpb.Frame_MemberPull{MemberPull: body}}, nil
+	case core.MemberBuckets:
+		body := &controlpb.MemberBuckets{Count: m.Count, Indexes: m.Indexes, Members: encodeMembers(m.Members)}
+		return &controlpb.Frame{Body: &controlpb.Frame_MemberBuckets{MemberBuckets: body}}, nil
 	}
 	return nil, fmt.Errorf("message type %T has no frame", m)
 }
@@ -59,7 +65,7 @@
 	case *controlpb.Frame_Digest:
 		return core.Digest{ConfigVersion: body.Digest.GetConfigVersion(), Members: body.Digest.GetMembers()}, nil
 	case *controlpb.Frame_Pull:
-		return core.Pull{Since: body.Pull.GetSince(), Members: body.Pull.GetMembers()}, nil
+		return core.Pull{Since: body.Pull.GetSince()}, nil
 	case *controlpb.Frame_Subscribe:
 		name := body.Subscribe.GetService()
 		return core.Subscribe{Service: model.ServiceName(name)}, checkName("subscribe.service", name, true)
@@ -67,23 +73,43 @@
 		return core.Heartbeat{Sequence: body.Heartbeat.GetSequence(), ConfigVersion: body.Heartbeat.GetConfigVersion()}, nil
 	case *controlpb.Frame_HeartbeatAck:
 		return core.HeartbeatAck{Sequence: body.HeartbeatAck.GetSequence()}, nil
+	case *controlpb.Frame_MemberPull:
+		return decodeMemberPull(body.MemberPull)
+	case *controlpb.Frame_MemberBuckets:
+		return decodeMemberBuckets(body.MemberBuckets)
 	}
 	return nil, &InvalidFieldError{"frame.body", "none"}
 }
 
 func encodeDelta(d *core.Delta) *controlpb.Delta {
-	out := &controlpb.Delta{Since: d.Since, ConfigVersion: d.ConfigVersion}
+	out := &controlpb.Delta{
+		Service:       string(d.Service),
+		Part:          d.Part,
+		Parts:         d.Parts,
+		Since:         d.Since,
+		ConfigVersion: d.ConfigVersion,
+		Members:       encodeMembers(d.Members),
+	}
 	for i := range d.Objects {
 		out.Objects = append(out.Objects, encodeObject(&d.Objects[i]))
 	}
-	for i := range d.Members {
-		out.Members = append(out.Members, encodeMember(&d.Members[i]))
-	}
 	return out
 }
 
 func decodeDelta(d *controlpb.Delta) (core.Message, error) {
-	out := core.Delta{Since: d.GetSince(), ConfigVersion: d.GetConfigVersion()}
+	out := core.Delta{
+		Service:       model.ServiceName(d.GetService()),
+		Part:          d.GetPart(),
+		Parts:         d.GetParts(),
+		Since:         d.GetSince(),
+		ConfigVersion: d.GetConfigVersion(),
+	}
+	if err := checkName("delta.service", d.GetService(), true); err != nil {
+		return nil, err
+	}
+	if out.Part > out.Parts || (out.Parts > 0 && out.Part == 0) {
+		return nil, &InvalidFieldError{"delta.part", out.Part}
+	}
 	for _, o := range d.GetObjects() {
 		object, err := decodeObject(o)
 		if err != nil {
@@ -91,12 +117,56 @@
 		}
 		out.Objects = append(out.Objects, object)
 	}
-	for _, m := range d.GetMembers() {
+	var err error
+	out.Members, err = decodeMembers(d.GetMembers())
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// maxMemberBuckets bounds the buckets of a pull.
+const maxMemberBuckets = 4096
+
+func decodeMemberPull(p *controlpb.MemberPull) (core.Message, error) {
+	if len(p.GetBuckets()) > maxMemberBuckets {
+		return nil, &InvalidFieldError{"member_pull.buckets", len(p.GetBuckets())}
+	}
+	return core.MemberPull{Buckets: p.GetBuckets()}, nil
+}
+
+func decodeMemberBuckets(b *controlpb.MemberBuckets) (core.Message, error) {
+	if b.GetCount() == 0 || b.GetCount() > maxMemberBuckets {
+		return nil, &InvalidFieldError{"member_buckets.count", b.GetCount()}
+	}
+	for _, index := range b.GetIndexes() {
+		if index >= b.GetCount() {
+			return nil, &InvalidFieldError{"member_buckets.indexes", index}
+		}
+	}
+	members, err := decodeMembers(b.GetMembers())
+	if err != nil {
+		return nil, err
+	}
+	return core.MemberBuckets{Count: b.GetCount(), Indexes: b.GetIndexes(), Members: members}, nil
+}
+
+func encodeMembers(members []model.Member) []*controlpb.Member {
+	var out []*controlpb.Member
+	for i := range members {
+		out = append(out, encodeMember(&members[i]))
+	}
+	return out
+}
+
+func decodeMembers(members []*controlpb.Member) ([]model.Member, error) {
+	var out []model.Member
+	for _, m := range members {
 		member, err := decodeMember(m)
 		if err != nil {
 			return nil, err
 		}
-		out.Members = append(out.Members, member)
+		out = append(out, member)
 	}
 	return out, nil
 }
--- a/internal/control/convert_test.go
+++ b/internal/control/convert_test.go
@@ -31,7 +31,7 @@
 	}
 	return []core.Message{
 		core.Delta{
-			Since: 4, ConfigVersion: 9,
+			Service: "drawings", Part: 2, Parts: 3, Since: 4, ConfigVersion: 9,
 			Objects: []model.Object{
 				{Key: key(model.KindService, "drawings"), Version: 5, Service: service},
 				{Key: key(model.KindDomain, "a"), Version: 6, Domain: &model.Domain{Name: "a", Region: "om-north"}},
@@ -42,7 +42,9 @@
 			Members: []model.Member{member},
 		},
 		core.Digest{ConfigVersion: 9, Members: 1 << 63},
-		core.Pull{Since: 4, Members: true},
+		core.Pull{Since: 4},
+		core.MemberPull{Buckets: []uint32{1, 1 << 31}},
+		core.MemberBuckets{Count: 2, Indexes: []uint32{1}, Members: []model.Member{member}},
 		core.Subscribe{Service: "drawings"},
 		core.Heartbeat{Sequence: 1, ConfigVersion: 9},
 		core.HeartbeatAck{Sequence: 1},
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -13,6 +13,8 @@
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"amaranthwheel.example/amaranthwheel/internal/controlpb"
 	"amaranthwheel.example/amaranthwheel/internal/core"
@@ -306,3 +308,15 @@
 	}
 	s.hub.streams.offer(stream)
 }
+
+// MessageSize returns the encoded size of a message in bytes, with its length
+// prefix but without the headers of yamux, TCP and IP. It returns an error
+// for a message type that has no frame.
+func MessageSize(m core.Message) (int, error) {
+	frame, err := encodeFrame(m)
+	if err != nil {
+		return 0, err
+	}
+	size := proto.Size(frame)
+	return protowire.SizeBytes(size), nil
+}
--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -34,6 +34,9 @@
 // controller (package lifecycle).
 type SelfSection struct {
 	Member model.Member
+	// Subscription is the service whose objects and members an agent follows:
+	// the one that its target announced last, accepted or not.
+	Subscription model.ServiceName
 	// Announced reports that a target has announced itself and was accepted.
 	Announced bool
 	// Stopping is set by a planned stop: no new work, in-flight work finishes.
@@ -50,9 +53,24 @@
 // ConfigSection is the configuration in force. Writer: configuration
 // controller (package configuration).
 type ConfigSection struct {
+	// Current is replaced, never modified, so that readers may keep it.
 	Current *model.Config
 	// Generation rises with every change to Current.
 	Generation uint64
+	// Subscription is the service for which an agent holds Current complete.
+	Subscription model.ServiceName
+	// Reader reports that this node watches the store.
+	Reader bool
+}
+
+// HeldVersion returns the version that the node holds complete under its
+// current subscription, 0 while a new subscription is loaded. Current.Version
+// never falls.
+func (c *ConfigSection) HeldVersion(subscription model.ServiceName) uint64 {
+	if c.Subscription != subscription {
+		return 0
+	}
+	return c.Current.Version
 }
 
 // MemberSection is the known members, gone ones included until forgotten.
@@ -61,6 +79,14 @@
 	Records map[model.NodeID]model.Member
 	// Generation rises with every change to Records.
 	Generation uint64
+	// Summary hashes Records for anti-entropy.
+	Summary MemberSummary
+	// Changes lists the records changed in the current step, for controllers
+	// that run after membership.
+	Changes []MemberChange
+	// Outdated lists, for the current step, received records that are older
+	// than the one held, with their sender.
+	Outdated []MemberChange
 }
 
 // Session is an open control session with a peer.
--- /dev/null
+++ b/internal/core/dissemination/change_test.go
@@ -0,0 +1,37 @@
+package dissemination_test
+
+import (
+	"testing"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+func TestDeploymentConverges(t *testing.T) {
+	c := deployment(t, 1)
+	for _, n := range c.live() {
+		if n.self.Role == model.RoleAgent && !n.Board().Self.TakesNewWork() {
+			t.Errorf("%s takes no new work: %+v", n.self.Node, n.Board().Self)
+		}
+		if n.self.Role == model.RoleAgent && !n.Board().Lease.Valid(c.now) {
+			t.Errorf("%s has no lease", n.self.Node)
+		}
+	}
+}
+
+func TestDomainOutIsInForceWithinFiveSeconds(t *testing.T) {
+	c := deployment(t, 2)
+	c.versionsNeverFall()
+	version := c.accept(domainState(domainOf(1), true))
+	took := c.await(5*time.Second, "the domain is out on every node", c.inForce(version))
+	t.Logf("in force on %d nodes after %v", len(c.live()), took)
+	for _, n := range c.live() {
+		if want := n.self.Domain == domainOf(1); n.Board().Self.Out != want && n.self.Role == model.RoleAgent {
+			c.run(core.TickInterval)
+			if n.Board().Self.Out != want {
+				t.Errorf("%s: out is %v", n.self.Node, n.Board().Self.Out)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dissemination/failure_test.go
@@ -0,0 +1,322 @@
+package dissemination_test
+
+import (
+	"testing"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// between returns a cut between a node and those that the filter selects.
+func between(node model.NodeID, selects func(model.NodeID) bool) func(a, b model.NodeID) bool {
+	return func(a, b model.NodeID) bool {
+		return (a == node && selects(b)) || (b == node && selects(a))
+	}
+}
+
+func everyone(model.NodeID) bool { return true }
+
+// neverDead fails if any balancer takes a node for dead.
+func (c *cluster) neverDead(ids ...model.NodeID) {
+	c.check = func() {
+		for _, n := range c.live() {
+			for _, id := range ids {
+				if n.Board().Members.Records[id].State == model.StateDead {
+					c.t.Fatalf("%s takes %s for dead", n.self.Node, id)
+				}
+			}
+		}
+	}
+}
+
+func TestPausedBalancerResumesWithAnOldMap(t *testing.T) {
+	c := deployment(t, 3)
+	c.versionsNeverFall()
+	paused := balancerID(2)
+	c.pause(paused)
+	c.run(2 * time.Second)
+	version := c.accept(domainState(domainOf(1), true))
+	c.crash(agentID(3))
+	c.run(20 * time.Second)
+	if got := c.state(balancerID(0), agentID(3)); got != model.StateDead {
+		t.Fatalf("crashed agent is %v", got)
+	}
+	c.resume(paused)
+	c.neverDead(agentID(0), agentID(1), agentID(2), balancerID(0), balancerID(1))
+	c.await(5*time.Second, "the change is in force on the resumed balancer", c.inForce(version))
+	c.await(10*time.Second, "all nodes agree", c.agree)
+	if got := c.state(balancerID(0), paused); got != model.StateAlive {
+		t.Fatalf("resumed balancer is %v", got)
+	}
+	if got := c.state(paused, agentID(3)); got != model.StateDead {
+		t.Fatalf("resumed balancer takes the crashed agent for %v", got)
+	}
+}
+
+func TestFreshBalancerBesideAnOlderStore(t *testing.T) {
+	c := deployment(t, 4)
+	older := c.store.config.Clone()
+	version := c.accept(serviceObject("lease-desk", 5))
+	c.await(5*time.Second, "the change is in force", c.inForce(version))
+	c.store.config = older
+	c.versionsNeverFall()
+	fresh := c.start(model.RoleBalancer, balancerID(4), domainOf(0))
+	c.await(10*time.Second, "the newest version is in force on the fresh balancer", c.inForce(version))
+	c.run(time.Minute)
+	if got := fresh.Board().Config.Current.Service("lease-desk").MaxSlots; got != 5 {
+		t.Fatalf("fresh balancer serves %d slots, want 5", got)
+	}
+}
+
+func TestPeersCarryAnAcceptedChangeWhileTheStoreIsDown(t *testing.T) {
+	c := deployment(t, 5)
+	c.versionsNeverFall()
+	for _, n := range c.live()[1:] {
+		n.watching = n.watching && c.live()[0].watching == n.watching
+	}
+	version := c.accept(domainState(domainOf(2), true))
+	c.store.down = true
+	c.await(5*time.Second, "the change is in force", c.inForce(version))
+	c.start(model.RoleBalancer, balancerID(4), domainOf(0))
+	c.await(5*time.Second, "the change is in force on a fresh balancer", c.inForce(version))
+}
+
+func TestReplacedBalancersLearnFromAgentsWhileTheStoreIsDown(t *testing.T) {
+	c := deployment(t, 6)
+	c.store.down = true
+	for i := range 4 {
+		c.start(model.RoleBalancer, balancerID(i), domainOf(i))
+	}
+	c.await(20*time.Second, "fresh balancers serve both services", func() bool {
+		for i := range 4 {
+			cfg := c.nodes[balancerID(i)].Board().Config.Current
+			if cfg.Service("lease-desk") == nil || cfg.Service("drawings") == nil {
+				return false
+			}
+		}
+		return true
+	})
+	if got := c.nodes[balancerID(0)].Board().Config.Current.Version; got != 0 {
+		t.Fatalf("balancer claims version %d with a part of the objects", got)
+	}
+}
+
+func TestLostDeltasAreRepaired(t *testing.T) {
+	c := deployment(t, 7)
+	lost := 0
+	c.drop = func(from, to model.NodeID, m core.Message) bool {
+		d, ok := m.(core.Delta)
+		if ok && (d.ConfigVersion > 0 || len(d.Members) > 0) && lost < 40 {
+			lost++
+			return true
+		}
+		return false
+	}
+	version := c.accept(domainState(domainOf(1), true))
+	c.step(c.nodes[agentID(0)], core.StopRequested{})
+	took := c.await(15*time.Second, "the change is in force", c.inForce(version))
+	took += c.await(30*time.Second, "all nodes agree", c.agree)
+	t.Logf("%d deltas lost, repaired after %v", lost, took)
+	if lost == 0 {
+		t.Fatal("no delta was lost")
+	}
+}
+
+func TestPausedAgentHasNoLeaseUntilAcknowledgedAgain(t *testing.T) {
+	for _, pause := range []time.Duration{4 * time.Second, 20 * time.Second} {
+		c := deployment(t, 8)
+		id := agentID(0)
+		agent := c.nodes[id]
+		incarnation := agent.self.Incarnation
+		c.pause(id)
+		c.check = func() {
+			removed := c.state(balancerID(0), id) == model.StateDead
+			if removed && agent.Board().Lease.Valid(c.now) {
+				t.Fatal("agent was removed before its lease lapsed")
+			}
+		}
+		c.run(pause)
+		wasDead := c.state(balancerID(0), id) == model.StateDead
+		agent.paused = false
+		if agent.Board().Lease.Valid(c.now) {
+			t.Fatalf("lease is valid after a pause of %v", pause)
+		}
+		agent.paused = true
+		c.resume(id)
+		if agent.Board().Lease.Valid(c.now) {
+			t.Fatalf("late acknowledgements renewed the lease after a pause of %v", pause)
+		}
+		c.await(5*time.Second, "the lease is renewed", func() bool { return agent.Board().Lease.Valid(c.now) })
+		c.await(5*time.Second, "the agent is alive again", c.everyBalancerSees(id, model.StateAlive))
+		m := c.nodes[balancerID(0)].Board().Members.Records[id]
+		if m.Incarnation != incarnation || (wasDead && m.Revision == 0) {
+			t.Fatalf("agent came back as incarnation %d, revision %d", m.Incarnation, m.Revision)
+		}
+		if pause > 10*time.Second && !wasDead {
+			t.Fatal("paused agent was never removed")
+		}
+	}
+}
+
+func TestSuspicionOfOneWatcherIsRefuted(t *testing.T) {
+	c := deployment(t, 9)
+	id := agentID(0)
+	watcher := model.NodeID("")
+	for peer := range c.nodes[id].sessions {
+		watcher = max(watcher, peer)
+	}
+	before := c.nodes[id].Board().Self.Member.Revision
+	c.neverDead(id)
+	c.cut = between(id, func(other model.NodeID) bool { return other == watcher })
+	suspected := false
+	for range 60 * 20 {
+		c.run(core.TickInterval)
+		suspected = suspected || c.state(watcher, id) == model.StateSuspect
+		if !c.nodes[id].Board().Lease.Valid(c.now) {
+			t.Fatal("lease lapsed though two watchers hear the agent")
+		}
+	}
+	if !suspected {
+		t.Fatal("the watcher never suspected the agent")
+	}
+	refutations := c.nodes[id].Board().Self.Member.Revision - before
+	if refutations == 0 || refutations > 6 {
+		t.Fatalf("%d refutations in a minute, want 1 to 6", refutations)
+	}
+}
+
+func TestCutOffBalancerRemovesNobody(t *testing.T) {
+	c := deployment(t, 10)
+	id := balancerID(1)
+	c.cut = between(id, everyone)
+	c.run(25 * time.Second)
+	for node, m := range c.nodes[id].Board().Members.Records {
+		if m.Gone() {
+			t.Errorf("cut-off balancer removed %s", node)
+		}
+	}
+	if got := c.state(balancerID(0), id); got != model.StateDead {
+		t.Errorf("others take the cut-off balancer for %v", got)
+	}
+	c.cut = func(a, b model.NodeID) bool { return false }
+	c.await(30*time.Second, "all nodes agree after the cut", c.agree)
+	if got := c.state(balancerID(0), id); got != model.StateAlive {
+		t.Errorf("others take the returned balancer for %v", got)
+	}
+}
+
+func TestLostDomainIsRemovedWithinSeconds(t *testing.T) {
+	c := deployment(t, 11)
+	var lost []model.NodeID
+	for _, n := range c.live() {
+		if n.self.Domain == domainOf(2) {
+			lost = append(lost, n.self.Node)
+		}
+	}
+	for _, id := range lost {
+		c.crash(id)
+	}
+	took := c.await(12*time.Second, "the domain's nodes are dead everywhere", func() bool {
+		for _, id := range lost {
+			if !c.everyBalancerSees(id, model.StateDead)() {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("%d nodes removed after %v", len(lost), took)
+	if took < 5*time.Second {
+		t.Fatalf("removed after %v, without the time to refute", took)
+	}
+}
+
+func TestPartitionHeals(t *testing.T) {
+	c := deployment(t, 12)
+	half := func(id model.NodeID) bool { return c.nodes[id] != nil && c.nodes[id].self.Domain < domainOf(2) }
+	c.cut = func(a, b model.NodeID) bool { return half(a) != half(b) }
+	c.run(time.Minute)
+	c.cut = func(a, b model.NodeID) bool { return false }
+	c.await(40*time.Second, "both halves agree again", c.agree)
+	if got := len(notGone(c.nodes[balancerID(0)].Board(), core.Subscriber{Role: model.RoleBalancer})); got != 15 {
+		t.Fatalf("%d members after the partition, want 15", got)
+	}
+}
+
+func TestRestartsReplaceTheOldInstance(t *testing.T) {
+	c := deployment(t, 13)
+	for _, id := range []model.NodeID{agentID(0), balancerID(1)} {
+		old := c.nodes[id].self.Incarnation
+		c.start(c.nodes[id].self.Role, id, c.nodes[id].self.Domain)
+		c.await(5*time.Second, "balancers know the new instance", func() bool {
+			m := c.nodes[balancerID(0)].Board().Members.Records[id]
+			return m.Incarnation > old && m.State == model.StateAlive
+		})
+		if id == agentID(0) {
+			c.announce(id, "lease-desk")
+		}
+		c.await(10*time.Second, "all nodes agree", func() bool {
+			return c.agree() && c.inForce(c.store.config.Version)()
+		})
+	}
+}
+
+func TestPlannedLeaveIsKnownAtOnce(t *testing.T) {
+	c := deployment(t, 14)
+	c.neverDead(agentID(0), balancerID(3))
+	c.step(c.nodes[agentID(0)], core.StopRequested{})
+	c.await(time.Second, "the agent left", c.everyBalancerSees(agentID(0), model.StateLeft))
+	c.step(c.nodes[balancerID(3)], core.StopRequested{})
+	c.await(time.Second, "the balancer drains", c.everyBalancerSees(balancerID(3), model.StateDraining))
+	c.await(10*time.Second, "the balancer left", c.everyBalancerSees(balancerID(3), model.StateLeft))
+	c.run(time.Second)
+	if c.nodes[balancerID(3)] != nil || c.nodes[agentID(0)] != nil {
+		t.Fatal("a stopped node still runs")
+	}
+	c.await(5*time.Second, "all nodes agree", c.agree)
+}
+
+func TestMovesAtOnce(t *testing.T) {
+	c := deployment(t, 15)
+	c.versionsNeverFall()
+	c.step(c.nodes[agentID(0)], core.StopRequested{})
+	version := c.accept(domainState(domainOf(1), true))
+	c.start(model.RoleAgent, agentID(11), domainOf(3))
+	c.announce(agentID(11), "lease-desk")
+	c.crash(agentID(2))
+	c.start(model.RoleBalancer, balancerID(4), domainOf(0))
+	c.crash(balancerID(0))
+	c.await(5*time.Second, "the domain is out", c.inForce(version))
+	c.await(30*time.Second, "all nodes agree", c.agree)
+	if got := c.state(balancerID(1), agentID(11)); got != model.StateAlive {
+		t.Fatalf("new agent is %v", got)
+	}
+}
+
+func TestGoneMembersAreForgottenAndStayGone(t *testing.T) {
+	c := newCluster(t, 16)
+	c.members.ForgetAfter = 2 * time.Minute
+	for i := range 3 {
+		c.start(model.RoleBalancer, balancerID(i), domainOf(i))
+	}
+	c.start(model.RoleAgent, agentID(0), domainOf(0))
+	c.await(5*time.Second, "all nodes agree", c.agree)
+	c.pause(balancerID(2))
+	c.crash(agentID(0))
+	c.run(100 * time.Second)
+	c.resume(balancerID(2))
+	c.await(20*time.Second, "the stale record is corrected", c.everyBalancerSees(agentID(0), model.StateDead))
+	c.run(5 * time.Minute)
+	if !c.everyBalancerSees(agentID(0), 0)() {
+		t.Fatal("a gone member is still remembered")
+	}
+	c.pause(balancerID(2))
+	c.run(5 * time.Minute)
+	c.resume(balancerID(2))
+	c.check = func() {
+		if c.state(balancerID(0), agentID(0)) != 0 {
+			t.Fatal("a forgotten member came back")
+		}
+	}
+	c.run(30 * time.Second)
+}
--- /dev/null
+++ b/internal/core/dissemination/sessions.go
@@ -0,0 +1,133 @@
+package dissemination
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/topology"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+// sessionInterval is how often sessions are opened and closed.
+const sessionInterval = 200 * time.Millisecond
+
+// sessions decides which sessions the node keeps.
+type sessions struct {
+	options  Options
+	dialer   dialer
+	next     time.Time
+	nextHeal time.Time
+	// generation is the member generation of balancers and wanted.
+	generation uint64
+	balancers  topology.Balancers
+	wanted     []model.NodeID
+}
+
+// tick dials the wanted peers without a session, and hangs up sessions that
+// neither side has needed for a while.
+func (s *sessions) tick(t *core.Turn, peers map[model.NodeID]*peer) {
+	if t.Now.Before(s.next) || t.Board.Self.Member.Gone() {
+		return
+	}
+	s.next = t.Now.Add(sessionInterval)
+	self := &t.Board.Self.Member
+	if s.generation != t.Board.Members.Generation {
+		s.generation = t.Board.Members.Generation
+		s.balancers = topology.NewBalancers(&t.Board.Members)
+		s.wanted = s.balancers.Peers(self.Node, self.Role)
+	}
+	for _, node := range s.wanted {
+		if peers[node] == nil {
+			s.dialer.dial(t, t.Board.Members.Records[node].Control)
+		}
+	}
+	s.dialSeeds(t)
+	s.heal(t)
+	s.hangupUnneeded(t, peers)
+	s.dialer.forgetIdle(t.Now)
+}
+
+// dialSeeds dials all seeds while the node has no session with a balancer.
+func (s *sessions) dialSeeds(t *core.Turn) {
+	for _, session := range t.Board.Peers.Sessions {
+		if session.Role == model.RoleBalancer {
+			return
+		}
+	}
+	for _, seed := range s.options.Seeds {
+		s.dialer.dial(t, seed)
+	}
+}
+
+// heal dials now and then a balancer that is recorded as dead, or a seed, so
+// that two halves of a partition find each other again.
+func (s *sessions) heal(t *core.Turn) {
+	if s.nextHeal.IsZero() {
+		s.nextHeal = t.Now.Add(jitter(t, s.options.HealInterval))
+	}
+	if t.Now.Before(s.nextHeal) {
+		return
+	}
+	s.nextHeal = t.Now.Add(s.options.HealInterval/2 + jitter(t, s.options.HealInterval))
+	if lost := s.lostAddresses(t.Board); len(lost) > 0 {
+		s.dialer.dial(t, lost[t.Rand.IntN(len(lost))])
+	}
+}
+
+// lostAddresses returns the addresses of dead balancers, and the seeds that
+// belong to no known live member.
+func (s *sessions) lostAddresses(b *core.Board) []netip.AddrPort {
+	live := make(map[netip.AddrPort]bool)
+	var lost []netip.AddrPort
+	for _, m := range b.Members.Records {
+		if m.State == model.StateDead && m.Role == model.RoleBalancer {
+			lost = append(lost, m.Control)
+		}
+		if !m.Gone() {
+			live[m.Control] = true
+		}
+	}
+	for _, seed := range s.options.Seeds {
+		if !live[seed] && !slices.Contains(lost, seed) {
+			lost = append(lost, seed)
+		}
+	}
+	slices.SortFunc(lost, netip.AddrPort.Compare)
+	return lost
+}
+
+func (s *sessions) hangupUnneeded(t *core.Turn, peers map[model.NodeID]*peer) {
+	for _, p := range sortedPeers(peers) {
+		switch {
+		case s.needed(t, p.node):
+			p.unneededSince = time.Time{}
+		case p.unneededSince.IsZero():
+			p.unneededSince = t.Now
+		case t.Now.Sub(p.unneededSince) >= s.options.Linger:
+			t.Emit(core.Hangup{Peer: p.node, Reason: "session is not needed"})
+		}
+	}
+}
+
+// needed reports whether either side wants the session. Sessions with agents
+// are theirs to close.
+func (s *sessions) needed(t *core.Turn, node model.NodeID) bool {
+	self := &t.Board.Self.Member
+	peer := t.Board.Peers.Sessions[node]
+	if peer.Role == model.RoleAgent || slices.Contains(s.wanted, node) {
+		return true
+	}
+	return self.Role == model.RoleBalancer && slices.Contains(s.balancers.Peers(node, peer.Role), self.Node)
+}
+
+func sortedPeers(peers map[model.NodeID]*peer) []*peer {
+	out := make([]*peer, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *peer) int { return cmp.Compare(a.node, b.node) })
+	return out
+}
--- /dev/null
+++ b/internal/core/membership/options.go
@@ -0,0 +1,67 @@
+package membership
+
+import "time"
+
+// Options tunes the controller.
+type Options struct {
+	// HeartbeatInterval is the time between heartbeats to each watcher.
+	// Default 1 s. Shorter tolerates more loss at more control bytes.
+	HeartbeatInterval time.Duration
+	// Lease is how long an acknowledged heartbeat entitles a node to act as a
+	// home, from the time it was sent. Default 3 s. It must be below
+	// DeadAfter, so that a paused holder's lease has lapsed before others
+	// remove it; shorter leases lapse on smaller network faults.
+	Lease time.Duration
+	// SuspectAfter is the silence after which a watcher suspects a node.
+	// Default 3 s. Shorter finds failures sooner, with more false suspicions.
+	SuspectAfter time.Duration
+	// DeadAfter is the silence after which a watcher declares a node dead,
+	// and DeadAfter - SuspectAfter the time left to refute. Default 6 s.
+	DeadAfter time.Duration
+	// MaxSuspectAfter bounds the silence that a watcher tolerates from a node
+	// that keeps refuting its suspicions, which doubles each time: the fault
+	// is then between these two. Default 60 s.
+	MaxSuspectAfter time.Duration
+	// WatchGrace is how long a new watcher waits for a node's first
+	// heartbeat, before silence counts. Default 10 s. It must cover the time
+	// in which the node learns of its new watcher.
+	WatchGrace time.Duration
+	// RemovalBurst and RemovalRate bound the removals that one watcher
+	// claims: a burst, and then a rate a second. Defaults 8 and 4. Lower damps
+	// a mass loss more and takes longer to route around it.
+	RemovalBurst float64
+	RemovalRate  float64
+	// IsolationHold bounds how long a balancer that looks cut off holds
+	// removals back. Default 30 s. Longer avoids more false removals when it
+	// returns; shorter serves sooner if all the others are really lost.
+	IsolationHold time.Duration
+	// PauseAfter is the gap between events after which a node takes itself to
+	// have been paused, and starts all its time-outs anew. Default 1 s. It
+	// must exceed the longest stall of a busy host.
+	PauseAfter time.Duration
+	// ForgetAfter is how long the record of a member that is gone is kept, so
+	// that stale gossip does not bring it back. Default 24 h. Longer protects
+	// against longer partitions, at about 300 bytes a record.
+	ForgetAfter time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HeartbeatInterval, time.Second)
+	setDefault(&o.Lease, 3*time.Second)
+	setDefault(&o.SuspectAfter, 3*time.Second)
+	setDefault(&o.DeadAfter, 6*time.Second)
+	setDefault(&o.MaxSuspectAfter, time.Minute)
+	setDefault(&o.WatchGrace, 10*time.Second)
+	setDefault(&o.RemovalBurst, 8)
+	setDefault(&o.RemovalRate, 4)
+	setDefault(&o.IsolationHold, 30*time.Second)
+	setDefault(&o.PauseAfter, time.Second)
+	setDefault(&o.ForgetAfter, 24*time.Hour)
+	return o
+}
+
+func setDefault[T float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/core/membership_events.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/operator/findings"
+)
+
+// MemberPull asks for the member records that the receiver holds in those
+// buckets whose hash differs from its own. A record's bucket is a hash of its
+// node's name, modulo the number of buckets; the hash of a bucket covers the
+// records that the sender of the pull is subscribed to.
+type MemberPull struct{ Buckets []uint32 }
+
+// MemberBuckets answers a MemberPull with the whole content of some buckets.
+type MemberBuckets struct {
+	// Count is the number of buckets of the pull, Indexes the ones answered.
+	Count   uint32
+	Indexes []uint32
+	// Members are the records in these buckets, gone ones included.
+	Members []model.Member
+}
+
+func (MemberPull) message()    {}
+func (MemberBuckets) message() {}
+
+// AnnouncementChecked answers the newest TargetAnnounced. Without findings
+// the target is accepted.
+type AnnouncementChecked struct {
+	Target   model.TargetName
+	Findings []findings.Finding
+}
+
+// StopFinished reports that a planned stop is complete: the node has announced
+// that it left, and the process may exit.
+type StopFinished struct {
+	// Held is the number of flows that were still held.
+	Held int
+}
+
+func (AnnouncementChecked) effect() {}
+func (StopFinished) effect()        {}
+
+// MemberChange is a change to one member record during the current step.
+type MemberChange struct {
+	Node model.NodeID
+	// From is the peer that sent the record, empty if it is this node's own.
+	From model.NodeID
+	// Was is the service of the record that was replaced.
+	Was model.ServiceName
+}
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -10,7 +10,14 @@
 // receiver. ConfigVersion is the version the receiver holds complete once it
 // has merged Objects, given that it held Since complete before; a receiver
 // below Since keeps the objects but not the version, and pulls.
+//
+// An answer too large for one message comes in parts, in order; only the last
+// one completes the version. An agent's delta is filtered by its subscription,
+// which Service repeats.
 type Delta struct {
+	Service model.ServiceName
+	// Part counts from 1 to Parts; both are 0 in a delta of one message.
+	Part, Parts   uint32
 	Since         uint64
 	ConfigVersion uint64
 	Objects       []model.Object
@@ -25,12 +32,8 @@
 	Members uint64
 }
 
-// Pull asks for everything after the version, and for all member records
-// if the digests differed.
-type Pull struct {
-	Since   uint64
-	Members bool
-}
+// Pull asks for all configuration objects after the version.
+type Pull struct{ Since uint64 }
 
 // Subscribe sets the service whose objects and members an agent wants.
 type Subscribe struct{ Service model.ServiceName }
--- /dev/null
+++ b/internal/core/topology/topology.go
@@ -0,0 +1,84 @@
+// Package topology decides which balancers a node keeps control sessions
+// with. It is a pure function of the member records, so that the node and its
+// watchers agree on it.
+package topology
+
+import (
+	"cmp"
+	"slices"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/rendezvous"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+const (
+	// WatchersPerNode is the number of balancers that watch a node's
+	// heartbeats.
+	WatchersPerNode = 3
+	// fullMeshSize is the largest number of balancers that all keep sessions
+	// with each other.
+	fullMeshSize = 5
+)
+
+// Balancers is the balancers that may watch, in the order of their IDs.
+type Balancers struct{ nodes []rendezvous.Node }
+
+// NewBalancers returns the balancers that may watch: those that are neither
+// leaving nor gone. A suspect one stays, so that a short silence moves
+// nothing.
+func NewBalancers(members *core.MemberSection) Balancers {
+	var nodes []rendezvous.Node
+	for id, m := range members.Records {
+		if m.Role == model.RoleBalancer && (m.State == model.StateAlive || m.State == model.StateSuspect) {
+			nodes = append(nodes, rendezvous.NewNode(id))
+		}
+	}
+	slices.SortFunc(nodes, func(a, b rendezvous.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return Balancers{nodes}
+}
+
+// Watchers returns the balancers that watch the node.
+func (b Balancers) Watchers(node model.NodeID) []model.NodeID {
+	return ids(rendezvous.Top(rendezvous.NewNode(node), b.nodes, WatchersPerNode))
+}
+
+// Watches reports whether the balancer is among the node's watchers.
+func (b Balancers) Watches(balancer rendezvous.Node, node model.NodeID) bool {
+	return rendezvous.InTop(rendezvous.NewNode(node), b.nodes, WatchersPerNode, balancer)
+}
+
+// Peers returns the balancers that the node opens sessions to: its watchers
+// and, for a balancer, its successor in the ring of IDs, which keeps the graph
+// of sessions connected. A few balancers form a full mesh.
+func (b Balancers) Peers(node model.NodeID, role model.Role) []model.NodeID {
+	if role == model.RoleBalancer && len(b.nodes) <= fullMeshSize {
+		return ids(rendezvous.Top(rendezvous.NewNode(node), b.nodes, fullMeshSize))
+	}
+	peers := b.Watchers(node)
+	if role != model.RoleBalancer {
+		return peers
+	}
+	if successor := b.successor(node); !slices.Contains(peers, successor) {
+		peers = append(peers, successor)
+	}
+	return peers
+}
+
+// successor returns the balancer after the node in the ring of IDs.
+func (b Balancers) successor(node model.NodeID) model.NodeID {
+	for _, other := range b.nodes {
+		if other.ID > node {
+			return other.ID
+		}
+	}
+	return b.nodes[0].ID
+}
+
+func ids(nodes []rendezvous.Node) []model.NodeID {
+	out := make([]model.NodeID, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.ID
+	}
+	return out
+}
