--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -17,6 +17,7 @@
 	"amaranthwheel.example/amaranthwheel/internal/admin"
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/core/admission"
+	"amaranthwheel.example/amaranthwheel/internal/core/claims"
 	"amaranthwheel.example/amaranthwheel/internal/core/configuration"
 	"amaranthwheel.example/amaranthwheel/internal/core/directory"
 	"amaranthwheel.example/amaranthwheel/internal/core/dissemination"
@@ -89,12 +90,16 @@
 		return fmt.Errorf("listen for announcements: %w", err)
 	}
 	self := p.base.Member(model.RoleAgent)
+	claimSection, keyed := core.NewClaimSection(), new(core.KeyedSection)
+	claimController := claims.New(claimSection, keyed)
 	node := core.NewNode(core.NewBoard(self), self.Incarnation,
 		lifecycle.New(lifecycle.Options{DrainLimit: p.settings.StopTimeout}),
 		configuration.New(configuration.Options{}),
 		membership.New(membership.Options{}),
 		routing.New(),
-		admission.New(core.NewClaimSection(), new(core.KeyedSection)),
+		claimController,
+		admission.New(claimSection, keyed),
+		claimController.Recorder(),
 		p.directory,
 		dissemination.New(dissemination.Options{Seeds: p.settings.Seeds}),
 	)
--- a/internal/agent/receiver.go
+++ b/internal/agent/receiver.go
@@ -11,10 +11,6 @@
 	"amaranthwheel.example/amaranthwheel/internal/wire"
 )
 
-// socketBuffer is the size of the kernel's buffers of the data socket, in
-// bytes.
-const socketBuffer = 4 << 20
-
 // receiver reads datagrams of balancers and other agents from the data socket.
 type receiver struct {
 	conn  *net.UDPConn
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -48,9 +48,9 @@
 	// subscription is the service whose objects and members the node follows.
 	subscription atomic.Pointer[model.ServiceName]
 	stopped      chan struct{} // closed by StopFinished
-	cancel context.CancelFunc
-	group  sync.WaitGroup
-	admin  *http.Server
+	cancel       context.CancelFunc
+	group        sync.WaitGroup
+	admin        *http.Server
 }
 
 // NewBase opens the data socket. Start must follow.
