--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -87,6 +87,9 @@
 	// Outdated lists, for the current step, received records that are older
 	// than the one held, with their sender.
 	Outdated []MemberChange
+	// Unheard lists the nodes that this balancer watches and that have not
+	// sent it a heartbeat for a while: they may not know it yet.
+	Unheard []model.NodeID
 }
 
 // Session is an open control session with a peer.
--- a/internal/core/dissemination/cluster_test.go
+++ b/internal/core/dissemination/cluster_test.go
@@ -64,8 +64,7 @@
 	paused   bool
 	backlog  []core.Event
 	sessions map[model.NodeID]bool
-	bytes    int
-	messages int
+	bytes    int // sent and received
 	watching bool
 	loads    int
 	left     bool
@@ -267,8 +266,8 @@
 		c.t.Fatalf("message of %d bytes: %v", size, err)
 	}
 	n.bytes += size + headerBytes
-	n.messages++
 	if n.sessions[to] && !c.cut(n.self.Node, to) && !c.drop(n.self.Node, to, m) {
+		c.nodes[to].bytes += size + headerBytes
 		c.post(to, core.MessageReceived{From: n.self.Node, Message: m})
 	}
 }
--- a/internal/core/dissemination/controller.go
+++ b/internal/core/dissemination/controller.go
@@ -16,7 +16,7 @@
 // Controller writes core.PeerSection.
 type Controller struct {
 	options  Options
-	peers    map[model.NodeID]*peer
+	peers    peerList
 	sessions sessions
 	budget   budget
 	// configPulled and membersPulled are when the newest pulls were sent.
@@ -30,7 +30,7 @@
 	o = o.withDefaults()
 	return &Controller{
 		options: o,
-		peers:   make(map[model.NodeID]*peer),
+		peers:   peerList{byNode: make(map[model.NodeID]*peer)},
 		sessions: sessions{
 			options: o,
 			dialer:  dialer{options: o, dials: make(map[netip.AddrPort]*dialState)},
@@ -45,19 +45,19 @@
 	case core.SessionOpened:
 		c.opened(t, ev)
 	case core.SessionClosed:
-		delete(c.peers, ev.Peer)
+		c.peers.remove(ev.Peer)
 		delete(t.Board.Peers.Sessions, ev.Peer)
 	case core.DialFailed:
 		c.sessions.dialer.failed(t, ev.Addr)
 	case core.MessageReceived:
-		if p := c.peers[ev.From]; p != nil {
+		if p := c.peers.byNode[ev.From]; p != nil {
 			c.receive(t, p, ev.Message)
 		}
 	}
 	c.followSubscription(t)
 	c.flood(t)
 	if _, ok := ev.(core.Tick); ok {
-		c.sessions.tick(t, c.peers)
+		c.sessions.tick(t, &c.peers)
 		c.flush(t)
 	}
 }
@@ -74,7 +74,7 @@
 	}
 	p := newPeer(session.Peer, t.Now)
 	p.pending[self.Member.Node] = struct{}{}
-	c.peers[session.Peer] = p
+	c.peers.add(p)
 	if self.Member.Role == model.RoleAgent {
 		c.subscribe(t, p)
 	}
@@ -87,7 +87,7 @@
 		return
 	}
 	c.subscription = self.Subscription
-	for _, p := range sortedPeers(c.peers) {
+	for _, p := range c.peers.order {
 		c.subscribe(t, p)
 	}
 }
@@ -102,14 +102,14 @@
 // follows them, and the newer ones for senders of older ones.
 func (c *Controller) flood(t *core.Turn) {
 	for _, change := range t.Board.Members.Changes {
-		for node, p := range c.peers {
-			if node != change.From && c.spreads(t.Board, node, change) {
+		for _, p := range c.peers.order {
+			if p.node != change.From && c.spreads(t.Board, p.node, change) {
 				p.pending[change.Node] = struct{}{}
 			}
 		}
 	}
 	for _, outdated := range t.Board.Members.Outdated {
-		if p := c.peers[outdated.From]; p != nil {
+		if p := c.peers.byNode[outdated.From]; p != nil {
 			p.pending[outdated.Node] = struct{}{}
 		}
 	}
@@ -138,11 +138,10 @@
 // flush sends what waits, at most one message of each kind to a peer.
 func (c *Controller) flush(t *core.Turn) {
 	c.budget.refill(t.Now)
-	peers := sortedPeers(c.peers)
-	for _, p := range peers {
+	for _, p := range c.peers.order {
 		c.flushConfig(t, p)
 	}
-	for _, p := range peers {
+	for _, p := range c.peers.order {
 		c.flushMembers(t, p)
 		c.flushDigest(t, p)
 	}
--- a/internal/core/dissemination/options.go
+++ b/internal/core/dissemination/options.go
@@ -32,7 +32,7 @@
 	// 10 s; it exceeds the process's own dial and handshake timeouts.
 	DialTimeout time.Duration
 	// BytesPerSecond and BurstBytes bound what is sent, over all sessions.
-	// Defaults 64 KiB and 512 KiB. Steady traffic stays far below; a snapshot
+	// Defaults 256 KiB and 1 MiB. Steady traffic stays far below; a snapshot
 	// for a new node may use the burst. Lower is kinder to small links, and
 	// new nodes wait longer for their map.
 	BytesPerSecond int
@@ -50,8 +50,8 @@
 	setDefault(&o.RedialMin, 200*time.Millisecond)
 	setDefault(&o.RedialMax, 10*time.Second)
 	setDefault(&o.DialTimeout, 10*time.Second)
-	setDefault(&o.BytesPerSecond, 64<<10)
-	setDefault(&o.BurstBytes, 512<<10)
+	setDefault(&o.BytesPerSecond, 256<<10)
+	setDefault(&o.BurstBytes, 1<<20)
 	setDefault(&o.MessageBytes, 32<<10)
 	return o
 }
--- a/internal/core/dissemination/peer.go
+++ b/internal/core/dissemination/peer.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,26 @@
 	unneededSince time.Time
 }
 
+// peerList is the peers with an open session.
+type peerList struct {
+	byNode map[model.NodeID]*peer
+	// order is the peers in the order of their IDs, so that effects do not
+	// depend on the order of a map.
+	order []*peer
+}
+
+func (l *peerList) add(p *peer) {
+	l.remove(p.node)
+	l.byNode[p.node] = p
+	l.order = append(l.order, p)
+	slices.SortFunc(l.order, func(a, b *peer) int { return cmp.Compare(a.node, b.node) })
+}
+
+func (l *peerList) remove(node model.NodeID) {
+	delete(l.byNode, node)
+	l.order = slices.DeleteFunc(l.order, func(p *peer) bool { return p.node == node })
+}
+
 type sizedMessage struct {
 	message core.Message
 	bytes   int
--- a/internal/core/dissemination/receive.go
+++ b/internal/core/dissemination/receive.go
@@ -82,7 +82,7 @@
 		return
 	}
 	p.mismatches++
-	isNew := len(t.Board.Members.Records) <= 1+len(c.peers)
+	isNew := len(t.Board.Members.Records) <= 1+len(c.peers.order)
 	if p.mismatches < mismatchesBeforePull && !isNew {
 		return
 	}
--- a/internal/core/dissemination/sessions.go
+++ b/internal/core/dissemination/sessions.go
@@ -1,12 +1,12 @@
 package dissemination
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/rendezvous"
 	"amaranthwheel.example/amaranthwheel/internal/core/topology"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 )
@@ -28,7 +28,7 @@
 
 // tick dials the wanted peers without a session, and hangs up sessions that
 // neither side has needed for a while.
-func (s *sessions) tick(t *core.Turn, peers map[model.NodeID]*peer) {
+func (s *sessions) tick(t *core.Turn, peers *peerList) {
 	if t.Now.Before(s.next) || t.Board.Self.Member.Gone() {
 		return
 	}
@@ -40,25 +40,30 @@
 		s.wanted = s.balancers.Peers(self.Node, self.Role)
 	}
 	for _, node := range s.wanted {
-		if peers[node] == nil {
+		if peers.byNode[node] == nil {
 			s.dialer.dial(t, t.Board.Members.Records[node].Control)
 		}
 	}
-	s.dialSeeds(t)
+	for _, node := range t.Board.Members.Unheard {
+		if peers.byNode[node] == nil {
+			s.dialer.dial(t, t.Board.Members.Records[node].Control)
+		}
+	}
+	s.dialSeed(t)
 	s.heal(t)
 	s.hangupUnneeded(t, peers)
 	s.dialer.forgetIdle(t.Now)
 }
 
-// dialSeeds dials all seeds while the node has no session with a balancer.
-func (s *sessions) dialSeeds(t *core.Turn) {
+// dialSeed dials a random seed while the node has no session with a balancer.
+func (s *sessions) dialSeed(t *core.Turn) {
 	for _, session := range t.Board.Peers.Sessions {
 		if session.Role == model.RoleBalancer {
 			return
 		}
 	}
-	for _, seed := range s.options.Seeds {
-		s.dialer.dial(t, seed)
+	if len(s.options.Seeds) > 0 {
+		s.dialer.dial(t, s.options.Seeds[t.Rand.IntN(len(s.options.Seeds))])
 	}
 }
 
@@ -99,8 +104,8 @@
 	return lost
 }
 
-func (s *sessions) hangupUnneeded(t *core.Turn, peers map[model.NodeID]*peer) {
-	for _, p := range sortedPeers(peers) {
+func (s *sessions) hangupUnneeded(t *core.Turn, peers *peerList) {
+	for _, p := range peers.order {
 		switch {
 		case s.needed(t, p.node):
 			p.unneededSince = time.Time{}
@@ -120,14 +125,5 @@
 	if peer.Role == model.RoleAgent || slices.Contains(s.wanted, node) {
 		return true
 	}
-	return self.Role == model.RoleBalancer && slices.Contains(s.balancers.Peers(node, peer.Role), self.Node)
-}
-
-func sortedPeers(peers map[model.NodeID]*peer) []*peer {
-	out := make([]*peer, 0, len(peers))
-	for _, p := range peers {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *peer) int { return cmp.Compare(a.node, b.node) })
-	return out
+	return self.Role == model.RoleBalancer && s.balancers.Keeps(rendezvous.NewNode(self.Node), node, peer.Role)
 }
--- a/internal/core/dissemination/size.go
+++ b/internal/core/dissemination/size.go
@@ -6,7 +6,7 @@
 const (
 	messageOverhead = 32
 	objectOverhead  = 64
-	memberOverhead  = 128
+	memberOverhead  = 80
 	nameOverhead    = 2
 )
 
--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -26,6 +26,10 @@
 	// heartbeat, before silence counts. Default 10 s. It must cover the time
 	// in which the node learns of its new watcher.
 	WatchGrace time.Duration
+	// ProbeAfter is how long a new watcher waits for a node to open a session
+	// before it dials the node itself. Default 3 s. It must be well below
+	// WatchGrace; shorter dials more nodes that are just about to dial.
+	ProbeAfter time.Duration
 	// RemovalBurst and RemovalRate bound the removals that one watcher
 	// claims: a burst, and then a rate a second. Defaults 8 and 4. Lower damps
 	// a mass loss more and takes longer to route around it.
@@ -52,6 +56,7 @@
 	setDefault(&o.DeadAfter, 6*time.Second)
 	setDefault(&o.MaxSuspectAfter, time.Minute)
 	setDefault(&o.WatchGrace, 10*time.Second)
+	setDefault(&o.ProbeAfter, 3*time.Second)
 	setDefault(&o.RemovalBurst, 8)
 	setDefault(&o.RemovalRate, 4)
 	setDefault(&o.IsolationHold, 30*time.Second)
--- a/internal/core/membership/watch.go
+++ b/internal/core/membership/watch.go
@@ -34,6 +34,9 @@
 	heard time.Time
 	// tolerance is the silence that leads to suspicion.
 	tolerance time.Duration
+	// since is when the watch began, and answered is set by a heartbeat.
+	since    time.Time
+	answered bool
 	// suspected is set by this watcher's own suspicion until it is answered.
 	suspected bool
 }
@@ -72,7 +75,7 @@
 
 func (w *watch) start(role model.Role, now time.Time) *watched {
 	grace := max(0, w.options.WatchGrace-w.options.SuspectAfter)
-	return &watched{role: role, heard: now.Add(grace), tolerance: w.options.SuspectAfter}
+	return &watched{role: role, since: now, heard: now.Add(grace), tolerance: w.options.SuspectAfter}
 }
 
 // restart lets all silence begin now.
@@ -97,6 +100,7 @@
 func (w *watch) heartbeat(t *core.Turn, from model.NodeID, sequence uint64) {
 	if n := w.nodes[from]; n != nil {
 		n.heard = t.Now
+		n.answered = true
 		n.tolerance = w.options.SuspectAfter
 	}
 	m, known := t.Board.Members.Records[from]
@@ -127,6 +131,7 @@
 }
 
 func (w *watch) tick(t *core.Turn, r *records) {
+	w.listUnheard(t)
 	held := w.holdsRemovals(t)
 	for _, node := range w.order {
 		n := w.nodes[node]
@@ -145,6 +150,19 @@
 	}
 }
 
+// listUnheard lists the nodes to dial: those that have not found this watcher
+// themselves.
+func (w *watch) listUnheard(t *core.Turn) {
+	unheard := t.Board.Members.Unheard[:0]
+	for _, node := range w.order {
+		n := w.nodes[node]
+		if !n.answered && t.Now.Sub(n.since) >= w.options.ProbeAfter {
+			unheard = append(unheard, node)
+		}
+	}
+	t.Board.Members.Unheard = unheard
+}
+
 // confirms reports whether a suspect had the time to refute and did not.
 func (w *watch) confirms(t *core.Turn, r *records, node model.NodeID, silence time.Duration) bool {
 	suspect := t.Now.Sub(r.changed[node])
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -4,7 +4,6 @@
 package rendezvous
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 
@@ -34,36 +33,59 @@
 	return x ^ x>>32
 }
 
-// compare orders nodes by falling weight for the subject.
-func compare(subject, a, b Node) int {
-	return cmp.Or(
-		cmp.Compare(score(subject.seed, b.seed), score(subject.seed, a.seed)),
-		cmp.Compare(a.ID, b.ID),
-	)
+// ranked is a node with its weight for one subject.
+type ranked struct {
+	node   Node
+	weight uint64
+}
+
+// before reports whether a ranks before b.
+func (a ranked) before(b ranked) bool {
+	if a.weight != b.weight {
+		return a.weight > b.weight
+	}
+	return a.node.ID < b.node.ID
 }
 
 // Top returns the n nodes with the highest weight for the subject, best
 // first. The subject itself is never among them.
 func Top(subject Node, nodes []Node, n int) []Node {
-	ranked := make([]Node, 0, len(nodes))
+	best := make([]ranked, 0, n+1)
 	for _, node := range nodes {
-		if node.ID != subject.ID {
-			ranked = append(ranked, node)
+		if node.ID == subject.ID {
+			continue
+		}
+		r := ranked{node, score(subject.seed, node.seed)}
+		if len(best) == n && (n == 0 || !r.before(best[n-1])) {
+			continue
+		}
+		at := slices.IndexFunc(best, r.before)
+		if at < 0 {
+			at = len(best)
 		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(n, len(best))]
+	}
+	top := make([]Node, len(best))
+	for i, r := range best {
+		top[i] = r.node
 	}
-	slices.SortFunc(ranked, func(a, b Node) int { return compare(subject, a, b) })
-	return ranked[:min(n, len(ranked))]
+	return top
 }
 
 // InTop reports whether Top would return the node, which need not be listed.
 // It stops as soon as n nodes rank higher.
 func InTop(subject Node, nodes []Node, n int, node Node) bool {
-	if subject.ID == node.ID {
+	if subject.ID == node.ID || n <= 0 {
 		return false
 	}
+	self := ranked{node, score(subject.seed, node.seed)}
 	higher := 0
 	for _, other := range nodes {
-		if other.ID == node.ID || other.ID == subject.ID || compare(subject, other, node) > 0 {
+		if other.ID == node.ID || other.ID == subject.ID {
+			continue
+		}
+		if self.before(ranked{other, score(subject.seed, other.seed)}) {
 			continue
 		}
 		higher++
@@ -71,5 +93,5 @@
 			return false
 		}
 	}
-	return n > 0
+	return true
 }
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -65,14 +65,23 @@
 	return peers
 }
 
+// Keeps reports whether the balancer is among the peers of another node.
+func (b Balancers) Keeps(balancer rendezvous.Node, node model.NodeID, role model.Role) bool {
+	if role == model.RoleBalancer && (len(b.nodes) <= fullMeshSize || b.successor(node) == balancer.ID) {
+		return true
+	}
+	return b.Watches(balancer, node)
+}
+
 // successor returns the balancer after the node in the ring of IDs.
 func (b Balancers) successor(node model.NodeID) model.NodeID {
-	for _, other := range b.nodes {
-		if other.ID > node {
-			return other.ID
+	next, _ := slices.BinarySearchFunc(b.nodes, node, func(other rendezvous.Node, id model.NodeID) int {
+		if other.ID <= id {
+			return -1
 		}
-	}
-	return b.nodes[0].ID
+		return 1
+	})
+	return b.nodes[next%len(b.nodes)].ID
 }
 
 func ids(nodes []rendezvous.Node) []model.NodeID {
