--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -11,8 +11,13 @@
 	"github.com/urfave/cli/v3"
 )
 
-// defaultPollInterval is how often a wait asks the nodes again.
-const defaultPollInterval = 500 * time.Millisecond
+const (
+	// firstPollInterval is the first pause of a wait; each is twice the one
+	// before.
+	firstPollInterval = 50 * time.Millisecond
+	// defaultPollInterval is the longest pause of a wait.
+	defaultPollInterval = 500 * time.Millisecond
+)
 
 // App is amaranthctl with what it needs from outside.
 type App struct {
@@ -23,7 +28,7 @@
 	Now func() time.Time
 	// NewChangeID returns a unique ID for a change.
 	NewChangeID func() string
-	// PollInterval is how often a wait asks the nodes again.
+	// PollInterval is the longest pause before a wait asks the nodes again.
 	PollInterval time.Duration
 	// running is set once the command line has been accepted.
 	running bool
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -192,10 +192,10 @@
 func (a *App) printAgentView(e adminapi.Explanation) {
 	if d := e.Directory; d != nil {
 		fmt.Fprintf(a.Stdout, "agent %s: directory entry: holder %s since %s, established %s\n",
-			e.Node, d.Holder, formatTime(d.Since), yesNo(d.Established))
+			e.Node, d.Holder, timeText(d.Since), yesNo(d.Established))
 	}
 	if h := e.Held; h != nil {
 		fmt.Fprintf(a.Stdout, "agent %s: holds the flow since %s, last seen %s, established %s\n",
-			e.Node, formatTime(h.Since), formatTime(h.LastSeen), yesNo(h.Established))
+			e.Node, timeText(h.Since), timeText(h.LastSeen), yesNo(h.Established))
 	}
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -69,6 +70,11 @@
 	return at.UTC().Format(time.RFC3339)
 }
 
+// timeText prints a time within a sentence.
+func timeText(at time.Time) string {
+	return cmp.Or(formatTime(at), "an unknown time")
+}
+
 // count prints a number of things: "1 node", "2 nodes".
 func count(n int, noun string) string {
 	if n == 1 {
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -142,6 +142,7 @@
 	start := time.Now()
 	var last *forceReport
 	failure := errors.New("the wait was too short for an answer")
+	pause := min(firstPollInterval, s.app.PollInterval)
 	for {
 		fleet, err := askFleet(ctx, client, s.settings)
 		// A round that the end of the wait cut off says nothing about the nodes.
@@ -155,9 +156,10 @@
 		if last != nil && last.InForce {
 			return last, nil
 		}
-		if !sleep(ctx, s.app.PollInterval) {
+		if !sleep(ctx, pause) {
 			return last, notInForce(version, wait, last, failure)
 		}
+		pause = min(2*pause, s.app.PollInterval)
 	}
 }
 
