Rebuild only the views of the services that a member change touches

Cause: the routing controller rebuilt all views on every change of a member.

Ruled out: rebuilding at most once a tick, which delays a change by up to 50 ms and still costs 15 % of a core during the burst; comparing all records with a copy, which needs no change log but costs a walk of 6,110 records each time and a second copy of them.

Members.Put and Remove note what changed; a reader that is further behind than the log, or meets a generation that was raised without a note, compares all records, so writers that do not use Put stay correct. A change of the configuration still rebuilds all views.

Tests: random changes, noted and unnoted, against a fresh rebuild; it fails when the service that a member leaves is not touched (tried on a scratch change). The rest of internal/core passes.

--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -57,11 +57,12 @@
 }
 
 // MemberSection is the known members, gone ones included until forgotten.
-// Writer: membership controller (package membership).
+// Writer: membership controller (package membership), through Put and Remove.
 type MemberSection struct {
 	Records map[model.NodeID]model.Member
 	// Generation rises with every change to Records.
 	Generation uint64
+	changes    memberChanges
 }
 
 // Session is an open control session with a peer.
--- a/internal/core/fleet/changes.go
+++ b/internal/core/fleet/changes.go
@@ -136,8 +136,7 @@
 	if ok && !m.Supersedes(&held) {
 		return
 	}
-	members.Records[m.Node] = m
-	members.Generation++
+	members.Put(m)
 }
 
 func (f *Fleet) someTime(longest time.Duration) time.Duration {
--- a/internal/core/routing/controller.go
+++ b/internal/core/routing/controller.go
@@ -4,16 +4,15 @@
 // The home of a flow is its highest ranked candidate. Draining and suspect
 // members stay candidates, so that homes move only when a member joins, leaves,
 // dies or loses its failure domain; they merely admit no new flows.
+//
+// A change of members rebuilds the views of the services that the changed
+// members serve or served; a change of the configuration rebuilds all.
 package routing
 
 import (
-	"cmp"
-	"encoding/binary"
-	"slices"
+	"maps"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/model"
 )
@@ -22,23 +21,32 @@
 type Controller struct {
 	configGeneration uint64
 	memberGeneration uint64
+	index            memberIndex
 }
 
 // New returns a routing controller.
 func New() *Controller {
-	return &Controller{}
+	return &Controller{index: newMemberIndex()}
 }
 
-// Handle rebuilds the views after the configuration or the members changed.
+// Handle brings the views up to date after the configuration or the members
+// changed.
 func (c *Controller) Handle(t *core.Turn, _ core.Event) {
 	b := t.Board
-	if c.configGeneration == b.Config.Generation && c.memberGeneration == b.Members.Generation {
+	sameConfig := c.configGeneration == b.Config.Generation
+	if sameConfig && c.memberGeneration == b.Members.Generation {
 		return
 	}
+	changed, known := b.Members.ChangedSince(c.memberGeneration)
 	c.configGeneration = b.Config.Generation
 	c.memberGeneration = b.Members.Generation
-	views := buildViews(b, t.Now)
-	if sameViews(b.Routes.Views, views) {
+	var views map[model.ServiceID]*core.View
+	if sameConfig && known {
+		views = c.rebuildTouched(b, t.Now, changed)
+	} else {
+		views = c.rebuildAll(b, t.Now)
+	}
+	if views == nil {
 		return
 	}
 	b.Routes.Views = views
@@ -46,77 +54,68 @@
 	t.Emit(core.PublishRoutes{Views: views})
 }
 
-// buildViews returns the views of all services. A view that has not changed
-// is carried over.
-func buildViews(b *core.Board, now time.Time) map[model.ServiceID]*core.View {
-	byService := candidatesByService(b)
+// rebuildAll returns the views of all services, or nil if none has changed.
+func (c *Controller) rebuildAll(b *core.Board, now time.Time) map[model.ServiceID]*core.View {
+	c.index.reset(b.Members.Records)
 	views := make(map[model.ServiceID]*core.View)
 	for _, s := range b.Config.Current.Services() {
 		id := s.Name.ID()
-		v := newView(s, byService[s.Name])
-		v.Changed = now
-		if held := b.Routes.Views[id]; held != nil && held.Digest == v.Digest {
-			v.Changed = held.Changed
-			if sameCandidates(held, v) {
-				v = held
-			}
-		}
-		views[id] = v
+		views[id] = c.currentView(b, s, now)
+	}
+	if sameViews(b.Routes.Views, views) {
+		return nil
 	}
 	return views
 }
 
-// candidatesByService groups the members that may serve.
-func candidatesByService(b *core.Board) map[model.ServiceName][]core.Candidate {
-	out := make(map[model.ServiceName][]core.Candidate)
-	for _, m := range b.Members.Records {
-		if m.Role != model.RoleAgent || m.Service == "" || m.Gone() || b.Config.Current.DomainOut(m.Domain) {
+// rebuildTouched returns the views with those of the changed members' services
+// replaced, or nil if none has changed.
+func (c *Controller) rebuildTouched(b *core.Board, now time.Time, changed []model.NodeID) map[model.ServiceID]*core.View {
+	var views map[model.ServiceID]*core.View
+	for name := range c.index.update(b.Members.Records, changed) {
+		s := b.Config.Current.Service(name)
+		if s == nil {
 			continue
 		}
-		s := b.Config.Current.Service(m.Service)
-		if s == nil || !s.Allows(m.Target, m.Domain) {
+		id := name.ID()
+		v := c.currentView(b, s, now)
+		if v == b.Routes.Views[id] {
 			continue
 		}
-		admits := m.State == model.StateAlive && !b.Config.Current.TargetDrained(m.Target)
-		out[m.Service] = append(out[m.Service], core.Candidate{Member: m, Seed: Seed(m.Node), Admits: admits})
+		if views == nil {
+			views = maps.Clone(b.Routes.Views)
+		}
+		views[id] = v
 	}
-	return out
+	return views
 }
 
-func newView(s *model.Service, candidates []core.Candidate) *core.View {
-	slices.SortFunc(candidates, func(a, b core.Candidate) int {
-		return cmp.Compare(a.Member.Node, b.Member.Node)
-	})
-	return &core.View{
-		Service: s.Name, Mode: s.Mode, Address: s.Address,
-		Candidates: candidates, Digest: digest(candidates),
+// currentView returns the view of a service. One that has not changed is
+// carried over.
+func (c *Controller) currentView(b *core.Board, s *model.Service, now time.Time) *core.View {
+	v := newView(s, c.candidates(b, s))
+	v.Changed = now
+	held := b.Routes.Views[s.Name.ID()]
+	if held == nil || held.Digest != v.Digest {
+		return v
 	}
-}
-
-// digest hashes the candidates' names and incarnations: what decides homes.
-func digest(candidates []core.Candidate) uint64 {
-	h := xxhash.New()
-	var buf [8]byte
-	for i := range candidates {
-		_, _ = h.WriteString(string(candidates[i].Member.Node))
-		binary.BigEndian.PutUint64(buf[:], candidates[i].Member.Incarnation)
-		_, _ = h.Write(buf[:])
+	v.Changed = held.Changed
+	if sameCandidates(held, v) {
+		return held
 	}
-	return h.Sum64()
-}
-
-func sameCandidates(a, b *core.View) bool {
-	return a.Mode == b.Mode && a.Address == b.Address && slices.Equal(a.Candidates, b.Candidates)
+	return v
 }
 
-func sameViews(a, b map[model.ServiceID]*core.View) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, v := range b {
-		if a[id] != v {
-			return false
+// candidates returns the members that may serve a service.
+func (c *Controller) candidates(b *core.Board, s *model.Service) []core.Candidate {
+	var out []core.Candidate
+	for _, node := range c.index.nodes[s.Name] {
+		m := b.Members.Records[node]
+		if m.Gone() || b.Config.Current.DomainOut(m.Domain) || !s.Allows(m.Target, m.Domain) {
+			continue
 		}
+		admits := m.State == model.StateAlive && !b.Config.Current.TargetDrained(m.Target)
+		out = append(out, core.Candidate{Member: m, Seed: Seed(m.Node), Admits: admits})
 	}
-	return true
+	return out
 }
