--- /dev/null
+++ b/internal/balancer/forwarder_bench_test.go
@@ -0,0 +1,98 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/routing"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// testViews returns the views of one service whose candidates share an address.
+func testViews(candidates int, data netip.AddrPort) map[model.ServiceID]*core.View {
+	v := &core.View{Service: testService, Mode: model.ModeRequest}
+	for i := range candidates {
+		node := model.NodeID(fmt.Sprintf("agent-%d", i))
+		m := model.Member{Node: node, Data: data}
+		v.Candidates = append(v.Candidates, core.Candidate{Member: m, Seed: routing.Seed(node), Admits: true})
+	}
+	return map[model.ServiceID]*core.View{testService.ID(): v}
+}
+
+// BenchmarkRoute measures what a balancer decides for one datagram: its home
+// and its header. The baselines are the flow's hash alone and a lookup in a
+// flow table of 100,000 flows; each then encodes the same header.
+func BenchmarkRoute(b *testing.B) {
+	f := newTestForwarder(b, 7)
+	buf := make([]byte, wire.MaxDatagram)
+	header := wire.Header{Kind: wire.KindPacket, Service: testService.ID()}
+	b.Run("baseline-hash-only", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			flow := testFlow(i & 0xffff)
+			header.Caller, header.View = flow.Caller, flow.Hash()
+			f.keys.Encode(buf, &header, testPayload)
+		}
+	})
+	b.Run("baseline-flow-table", func(b *testing.B) {
+		table := make(map[model.FlowKey]uint64)
+		for i := range 100_000 {
+			table[testFlow(i)] = uint64(i)
+		}
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			flow := testFlow(i & 0xffff)
+			header.Caller, header.View = flow.Caller, table[flow]
+			f.keys.Encode(buf, &header, testPayload)
+		}
+	})
+	for _, candidates := range []int{3, 7, 30, 300} {
+		b.Run(fmt.Sprintf("candidates-%d", candidates), func(b *testing.B) {
+			f := newTestForwarder(b, candidates)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				_, h, _ := f.route(testFlow(i & 0xffff))
+				f.keys.Encode(buf, &h, testPayload)
+			}
+		})
+	}
+}
+
+// BenchmarkRouteParallel shows that the decision takes no lock: its time for
+// one datagram falls with the processors.
+func BenchmarkRouteParallel(b *testing.B) {
+	f := newTestForwarder(b, 7)
+	b.RunParallel(func(pb *testing.PB) {
+		buf := make([]byte, wire.MaxDatagram)
+		for i := 0; pb.Next(); i++ {
+			_, h, _ := f.route(testFlow(i & 0xffff))
+			f.keys.Encode(buf, &h, testPayload)
+		}
+	})
+}
+
+// BenchmarkForwardParallel adds the send call, once with the one data socket of
+// a forwarder and once with a socket for each goroutine.
+func BenchmarkForwardParallel(b *testing.B) {
+	f := newTestForwarder(b, 7)
+	b.Run("one-socket", func(b *testing.B) {
+		forwardParallel(b, func() *Forwarder { return f })
+	})
+	b.Run("own-sockets", func(b *testing.B) {
+		forwardParallel(b, func() *Forwarder { return newTestForwarder(b, 7) })
+	})
+}
+
+func forwardParallel(b *testing.B, forwarder func() *Forwarder) {
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		f := forwarder()
+		buf := make([]byte, wire.MaxDatagram)
+		for i := 0; pb.Next(); i++ {
+			f.forward(buf, testPayload, testFlow(i&0xffff))
+		}
+	})
+}
--- /dev/null
+++ b/internal/balancer/forwarder_test.go
@@ -0,0 +1,68 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/wire"
+)
+
+// TestForwardAllocatesNothing covers the whole packet path after the receive
+// call: the choice of the home, the header and the send call.
+func TestForwardAllocatesNothing(t *testing.T) {
+	f := newTestForwarder(t, 7)
+	buf := make([]byte, wire.MaxDatagram)
+	flow := testFlow(1)
+	if allocs := testing.AllocsPerRun(1000, func() { f.forward(buf, testPayload, flow) }); allocs != 0 {
+		t.Errorf("%v allocations a datagram, want 0", allocs)
+	}
+	if sent, failed := f.Counters.Forwarded.Load(), f.Counters.SendFailed.Load(); sent == 0 || failed != 0 {
+		t.Errorf("%d datagrams forwarded, %d failed", sent, failed)
+	}
+}
+
+// TestRouteAllocatesNothing covers a datagram that has no home as well.
+func TestRouteAllocatesNothing(t *testing.T) {
+	f := newTestForwarder(t, 7)
+	unknown := testFlow(1)
+	unknown.Service = model.ServiceName("unknown").ID()
+	for _, flow := range []model.FlowKey{testFlow(1), unknown} {
+		if allocs := testing.AllocsPerRun(1000, func() { f.route(flow) }); allocs != 0 {
+			t.Errorf("%v allocations for %v, want 0", allocs, flow)
+		}
+	}
+}
+
+// testPayload is the size of the datagrams, in bytes.
+const testPayload = 1200
+
+const testService model.ServiceName = "lease-desk"
+
+func testFlow(i int) model.FlowKey {
+	addr := netip.AddrFrom4([4]byte{192, 168, byte(i >> 16), byte(i >> 8)})
+	return model.FlowKey{Caller: netip.AddrPortFrom(addr, uint16(20000+i&0xff)), Service: testService.ID()}
+}
+
+// newTestForwarder returns a forwarder whose candidates all have the address
+// of a loopback socket that nobody reads.
+func newTestForwarder(t testing.TB, candidates int) *Forwarder {
+	t.Helper()
+	f := NewForwarder(wire.NewKeys([][]byte{[]byte("secret")}), listenLoopback(t), netip.Addr{})
+	sink := listenLoopback(t).LocalAddr().(*net.UDPAddr).AddrPort()
+	views := testViews(candidates, sink)
+	f.views.Store(&views)
+	f.Alive()
+	return f
+}
+
+func listenLoopback(t testing.TB) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -21,7 +21,7 @@
 
 // home is one agent under test, with two peers that only exist as records.
 type home struct {
-	t    *testing.T
+	t    testing.TB
 	node *core.Node
 	now  time.Time
 	peer [2]model.Member
@@ -29,7 +29,7 @@
 
 // newHome returns an agent whose view is settled and which itself admits
 // nothing, so that every flow is offered to a peer.
-func newHome(t *testing.T) *home {
+func newHome(t testing.TB) *home {
 	self := member("agent-0", 0)
 	h := &home{t: t, now: time.Unix(1000, 0), peer: [2]model.Member{member("agent-1", 1), member("agent-2", 2)}}
 	board := core.NewBoard(self)
