Work out docs/CAPACITY.md from measured slopes

`make capacity` measures memory of balancers and agents by targets, services, flows, sessions, QUIC connections and opaque flows; the bytes of control messages through real sessions on loopback; processor times; placement traffic of one service's agents at the planned rate in virtual time; and the store calls of changes against the stand-in. It renders the page from a template, states the machine and its load, and names every row as measured, measured slopes, computed or not measured.

fleet.Cost counts placement messages, so that headers of UDP and IP can be added.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,15 @@
 
 proto:
 	protoc --go_out=. --go_opt=module=amaranthwheel.example/amaranthwheel internal/*pb/*.proto
+
+# Benchmarks with fixed counts, a few seconds in all. Ratios are against the
+# baselines in the same run.
+bench:
+	go test -run '^$$' -bench 'Home|Route' -benchtime 20000x ./internal/core/routing ./internal/balancer
+	go test -run '^$$' -bench 'Parallel' -benchtime 100000x -cpu 1,2,4 ./internal/balancer
+	go test -run '^$$' -bench 'Change|FullMap' -benchtime 100x ./internal/core/routing
+	go test -run '^$$' -bench . -benchtime 2000x ./internal/core/directory
+
+# Measures the slopes and rewrites docs/CAPACITY.md.
+capacity:
+	go run ./standin/cmd/capacity
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -82,7 +82,7 @@
 
 // Cost is the traffic that the placement of flows adds.
 type Cost struct {
-	PlacementBytes, Forwards, Packets, Refused int64
+	PlacementBytes, PlacementMessages, Forwards, Packets, Refused int64
 }
 
 // New returns a fleet whose nodes all know each other.
@@ -250,6 +250,7 @@
 
 func (f *Fleet) countCost(e core.SendDatagram) {
 	if e.Header.Kind == wire.KindPlacement {
+		f.Cost.PlacementMessages++
 		f.Cost.PlacementBytes += int64(wire.HeaderSize + len(e.Payload))
 		return
 	}
