--- a/standin/capacity/bursts.go
+++ b/standin/capacity/bursts.go
@@ -19,7 +19,8 @@
 // burstOf returns the burst of nodes that change several times each.
 func (e Estimate) burstOf(nodes, events float64) burst {
 	records := nodes * events
-	return burst{records, records * e.Slopes.Frames.Member.Message, records * e.Slopes.Timing.MemberChange.Median}
+	perChange := e.Slopes.Timing.MemberChange.Median + e.Slopes.Timing.SetViews.Median
+	return burst{records, records * e.Slopes.Frames.Member.Message, records * perChange}
 }
 
 // burstCell judges how long the burst takes at the control budget.
@@ -34,7 +35,7 @@
 // burstProcessorCell judges the time spent on views.
 func (e Estimate) burstProcessorCell(b burst) Cell {
 	share := b.processor / e.Budget.InForce
-	c := Cell{Figure: fmt.Sprintf("%s, %s over 19 s", formatSeconds(b.processor), formatShare(share)), Mechanism: "`core/routing`", Source: FromSlopes}
+	c := Cell{Figure: fmt.Sprintf("%s, %s over 19 s", formatSeconds(b.processor), formatShare(share)), Mechanism: "`core/routing`, `balancer`", Source: FromSlopes}
 	return c.limited("4.4 %", share, e.Budget.Processor)
 }
 
--- a/standin/capacity/roles.go
+++ b/standin/capacity/roles.go
@@ -28,7 +28,7 @@
 
 	handled := 2*(beats+ownWatchers) + 2*sessions/e.Protocol.DigestInterval
 	messageTime := handled * f.Heartbeat.Processor / 2
-	changeTime := e.memberChanges()*t.MemberChange.Median + e.configChanges()*t.ConfigChange.Median
+	changeTime := e.memberChanges()*(t.MemberChange.Median+t.SetViews.Median) + e.configChanges()*(t.ConfigChange.Median+t.SetViews.Median)
 	return map[string]Cell{
 		"balancer.flows":     {Figure: formatBytes(max(0, m.BalancerFlows.PerUnit())) + " a flow", Mechanism: "`balancer`, `core/routing`", Source: Measured},
 		"balancer.views":     e.memoryCell(views, "`core`, `core/routing`", Measured),
@@ -44,7 +44,7 @@
 		"balancer.config":    e.trafficCell(config, "`core/configuration`, `core/dissemination`", Computed),
 		"balancer.traffic":   e.trafficCell(all, "all of these", Computed),
 		"balancer.messages":  e.processorCell(messageTime, "`control`", Computed),
-		"balancer.changes":   e.processorCell(changeTime, "`core/routing`", FromSlopes),
+		"balancer.changes":   e.processorCell(changeTime, "`core/routing`, `balancer`", FromSlopes),
 		"balancer.ticks":     {Figure: "-", Mechanism: "`core/membership`, `core/dissemination`", Source: NotMeasured, Budget: "4.4 %"},
 		"balancer.packet": {
 			Figure:    fmt.Sprintf("%s; %.1f times the hash alone, %.1f times a flow table", spread(t.Route, formatSeconds), ratio(t.Route, t.HashOnly), ratio(t.Route, t.TableLookup)),
--- a/standin/capacity/timing.go
+++ b/standin/capacity/timing.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"errors"
+
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/core/routing"
 	"amaranthwheel.example/amaranthwheel/internal/model"
@@ -18,6 +20,8 @@
 	// MemberChange, ConfigChange and FullMap are a balancer's views after one
 	// record or one object changed, and from nothing.
 	MemberChange, ConfigChange, FullMap Sample
+	// SetViews is the packet path's taking of new views.
+	SetViews Sample
 	// NewFlowHome and NewFlowHolder are the placement of a flow at its home and
 	// at the agent that admits it.
 	NewFlowHome, NewFlowHolder Sample
@@ -57,6 +61,9 @@
 	var t Timing
 	timePackets(p, &t)
 	timeChanges(p, &t)
+	if err := timeSetViews(p, &t); err != nil {
+		return t, err
+	}
 	return t, timeAgent(p, &t)
 }
 
@@ -122,6 +129,21 @@
 	})
 }
 
+// timeSetViews passes views to a packet path whose sockets are open.
+func timeSetViews(p Plan, t *Timing) error {
+	views := balancerNode(p, p.Targets, p.Services).Board().Routes.Views
+	f, done, err := newForwarder()
+	if err != nil {
+		return err
+	}
+	defer done()
+	if err := f.SetViews(views); err != nil {
+		return err
+	}
+	t.SetViews = timed(someIterations, func(int) { err = errors.Join(err, f.SetViews(views)) })
+	return err
+}
+
 func timeAgent(p Plan, t *Timing) error {
 	home := newAgentNode(p)
 	t.NewFlowHome = timeNewFlow(home)
