--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,10 @@
 # Measures the slopes and rewrites docs/CAPACITY.md.
 capacity:
 	go run ./standin/cmd/capacity
+
+# Runs the whole path as separate processes; see standin/demo/demo.sh.
+demo: build
+	standin/demo/demo.sh $(BIN)
+
+measure:
+	go run ./standin/cmd/measure
