--- a/internal/core/membership/records.go
+++ b/internal/core/membership/records.go
@@ -60,8 +60,7 @@
 	if !known || held.State != m.State {
 		logState(t, m, from)
 	}
-	members.Records[m.Node] = *m
-	members.Generation++
+	members.Put(*m)
 	members.Changes = append(members.Changes, core.MemberChange{Node: m.Node, From: from, Was: held.Service})
 	r.changed[m.Node] = t.Now
 }
@@ -77,9 +76,8 @@
 	members := &t.Board.Members
 	held := members.Records[node]
 	members.Summary.Replace(&held, nil)
-	delete(members.Records, node)
+	members.Remove(node)
 	delete(r.changed, node)
-	members.Generation++
 }
 
 // forget drops the records of members that have been gone for long.
