Send a new subscriber the records of its service at once

Cause: 1 to 20 of about 800 requests with an Idempotency-Key stayed unanswered for seconds right after a start (unknown or refused). claim_unknown_sender stood at 363: two agents ignored a third whose record had been flooded before they subscribed to its service; only anti-entropy brought it, 6.5 s later. Ruled out: lost datagrams (loopback), the settle window alone, the caller.

Conclusion: a subscription is answered like a change, not left to digests.

--- a/internal/core/dissemination/receive.go
+++ b/internal/core/dissemination/receive.go
@@ -25,16 +25,30 @@
 	case core.MemberBuckets:
 		c.receiveBuckets(t, p, &m)
 	case core.Subscribe:
-		session := t.Board.Peers.Sessions[p.node]
-		session.Service = m.Service
-		t.Board.Peers.Sessions[p.node] = session
-		p.known = false // the pull that follows tells its version
+		c.receiveSubscribe(t, p, m.Service)
 	case core.Heartbeat:
 		holds(t, p.node, m.ConfigVersion)
 		c.pullFromAgent(t, p, m.ConfigVersion)
 	}
 }
 
+// receiveSubscribe notes the service that an agent follows from now on, and
+// marks its agents' records: those that were flooded before passed it by.
+func (c *Controller) receiveSubscribe(t *core.Turn, p *peer, service model.ServiceName) {
+	session := t.Board.Peers.Sessions[p.node]
+	session.Service = service
+	t.Board.Peers.Sessions[p.node] = session
+	p.known = false // the pull that follows tells its version
+	if service == "" || t.Board.Self.Member.Role != model.RoleBalancer {
+		return
+	}
+	for node, m := range t.Board.Members.Records {
+		if m.Service == service {
+			p.pending[node] = struct{}{}
+		}
+	}
+}
+
 // holds notes the version that a peer is known to hold.
 func holds(t *core.Turn, node model.NodeID, version uint64) {
 	session := t.Board.Peers.Sessions[node]
