Authenticate the payload of messages between agents

Cause: the code covered the payload's length only, so a placement or claim message could be altered on the path (found in review by the admission work). Ruled out: covering callers' payloads too; they are QUIC and protect themselves.

Before: TestMessagesBetweenAgentsAreCoveredWhole red; after: green. Conclusion: whole messages between agents are authenticated.

--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -2,8 +2,10 @@
 // from balancers to agents, and the agents' own messages between each other.
 //
 // Every datagram starts with a fixed header that ends in a SipHash-2-4 code
-// over the header and the payload's length, keyed with the cluster key.
-// Datagrams of foreign senders are rejected before anything else is read.
+// keyed with the cluster key. It covers the header and the payload's length, and
+// the payload itself in messages between agents; callers' payloads carry the
+// protection of their own protocol. Datagrams of foreign senders are rejected
+// before anything else is read.
 package wire
 
 import (
@@ -110,10 +112,10 @@
 	return Decode(k[len(k)-1], datagram)
 }
 
-// Encode writes the header in front of a payload of the given length. The
-// buffer must hold HeaderSize bytes; the payload follows at that offset.
+// Encode writes the header in front of a payload of the given length, which
+// stands in the buffer from HeaderSize on.
 func Encode(key Key, buf []byte, h *Header, payload int) {
-	_ = buf[HeaderSize-1]
+	_ = buf[HeaderSize+payload-1]
 	binary.BigEndian.PutUint16(buf[0:], magic)
 	buf[2] = version
 	buf[3] = byte(h.Kind)
@@ -127,7 +129,7 @@
 	copy(buf[14:30], addr[:])
 	binary.BigEndian.PutUint16(buf[30:], h.Caller.Port())
 	binary.BigEndian.PutUint64(buf[32:], h.View)
-	binary.BigEndian.PutUint64(buf[macOffset:], key.mac(buf, payload))
+	binary.BigEndian.PutUint64(buf[macOffset:], key.mac(buf, buf[HeaderSize:HeaderSize+payload]))
 }
 
 // Decode checks a datagram and returns its header and payload. The payload
@@ -147,7 +149,7 @@
 		return Header{}, nil, ErrForeign
 	}
 	payload := datagram[HeaderSize:]
-	if binary.BigEndian.Uint64(datagram[macOffset:]) != key.mac(datagram, len(payload)) {
+	if binary.BigEndian.Uint64(datagram[macOffset:]) != key.mac(datagram, payload) {
 		return Header{}, nil, ErrMAC
 	}
 	addr := netip.AddrFrom16([16]byte(datagram[14:30]))
@@ -163,16 +165,15 @@
 	}, payload, nil
 }
 
-func (k Key) mac(buf []byte, payload int) uint64 {
+// mac returns the code over the header in buf and the payload.
+func (k Key) mac(buf, payload []byte) uint64 {
 	sum := siphash.Hash(k.k0, k.k1, buf[:macOffset])
-	return sum ^ siphashLength(k, payload)
-}
-
-// siphashLength binds the payload's length to the header's code.
-func siphashLength(k Key, payload int) uint64 {
-	var buf [8]byte
-	binary.BigEndian.PutUint64(buf[:], uint64(payload))
-	return siphash.Hash(k.k1, k.k0, buf[:])
+	if kind := Kind(buf[3]); kind == KindPlacement || kind == KindClaim {
+		return sum ^ siphash.Hash(k.k1, k.k0, payload)
+	}
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(payload)))
+	return sum ^ siphash.Hash(k.k1, k.k0, length[:])
 }
 
 // OpensQUIC reports whether a caller's datagram starts with a QUIC Initial
--- a/internal/wire/header_test.go
+++ b/internal/wire/header_test.go
@@ -74,6 +74,17 @@
 	}
 }
 
+func TestMessagesBetweenAgentsAreCoveredWhole(t *testing.T) {
+	keys := wire.NewKeys([][]byte{secret})
+	for _, kind := range []wire.Kind{wire.KindPlacement, wire.KindClaim} {
+		datagram := encode(keys, wire.Header{Kind: kind}, []byte("message"))
+		datagram[len(datagram)-1] ^= 1
+		if _, _, err := keys.Decode(datagram); !errors.Is(err, wire.ErrMAC) {
+			t.Errorf("kind %d: a changed payload was taken: %v", kind, err)
+		}
+	}
+}
+
 func TestKeysUnderRotation(t *testing.T) {
 	older := wire.NewKeys([][]byte{secret})
 	both := wire.NewKeys([][]byte{[]byte("the next secret!"), secret})
