--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
 )
 
 // addressFlags are the settings that are parsed after the command line.
@@ -22,15 +24,17 @@
 func Command() *cli.Command {
 	var cfg Config
 	var addresses addressFlags
+	var traceFile string
 	return &cli.Command{
 		Name:  "caller",
 		Usage: "put load on a service and check the answers",
-		Flags: append(placeFlags(&cfg, &addresses), loadFlags(&cfg)...),
+		Flags: append(append(placeFlags(&cfg, &addresses), loadFlags(&cfg)...),
+			&cli.StringFlag{Name: "trace", Usage: "file that receives a span for each request", Destination: &traceFile}),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if err := addresses.parse(&cfg); err != nil {
 				return err
 			}
-			return run(ctx, cfg)
+			return run(ctx, cfg, traceFile)
 		},
 	}
 }
@@ -97,7 +101,12 @@
 }
 
 // run puts the load on until it is bounded or the context ends.
-func run(ctx context.Context, cfg Config) error {
+func run(ctx context.Context, cfg Config, traceFile string) (err error) {
+	stopTracing, err := obs.Setup("caller", traceFile)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, stopTracing(context.WithoutCancel(ctx))) }()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	c, err := New(cfg, log.With(logger, "ts", log.DefaultTimestampUTC))
 	if err != nil {
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"amaranthwheel.example/amaranthwheel/internal/obs"
 	"amaranthwheel.example/amaranthwheel/standin/workload"
 )
 
@@ -41,6 +42,8 @@
 		ctx, giveUp = context.WithCancelCause(ctx)
 		defer time.AfterFunc(p.cancelAfter, func() { giveUp(errCancelled) }).Stop()
 	}
+	ctx, span := startSpan(ctx, &r)
+	defer endSpan(span, &r)
 	r.Sent = time.Now()
 	s.caller.recorder.sent(r.Sent)
 	resp, err := s.roundTrip(ctx, p, &r)
@@ -71,6 +74,7 @@
 	if p.key != "" {
 		req.Header.Set(workload.HeaderIdempotencyKey, p.key)
 	}
+	obs.Inject(ctx, req.Header)
 	return s.http.RoundTrip(req)
 }
 
--- a/standin/target/command.go
+++ b/standin/target/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -9,12 +10,13 @@
 	"github.com/urfave/cli/v3"
 
 	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
 )
 
 // Command returns the subcommand that runs one target until its context ends.
 func Command() *cli.Command {
 	var cfg Config
-	var mode string
+	var mode, traceFile string
 	return &cli.Command{
 		Name:  "target",
 		Usage: "run a target",
@@ -38,16 +40,22 @@
 			&cli.DurationFlag{Name: "work", Usage: "work of a request that names none", Value: 5 * time.Millisecond, Destination: &cfg.Work},
 			&cli.DurationFlag{Name: "stop-wait", Usage: "least time from SIGTERM to the end", Value: 3 * time.Second, Destination: &cfg.StopWait},
 			&cli.DurationFlag{Name: "stop-limit", Usage: "most time from SIGTERM to the end", Value: 30 * time.Second, Destination: &cfg.StopLimit},
+			&cli.StringFlag{Name: "trace", Usage: "file that receives a span for each request", Destination: &traceFile},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			cfg.Mode = model.Mode(mode)
-			return run(ctx, cfg)
+			return run(ctx, cfg, traceFile)
 		},
 	}
 }
 
 // run serves until the context ends.
-func run(ctx context.Context, cfg Config) error {
+func run(ctx context.Context, cfg Config, traceFile string) (err error) {
+	stopTracing, err := obs.Setup("target", traceFile)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, stopTracing(context.WithoutCancel(ctx))) }()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	t, err := Start(cfg, log.With(logger, "ts", log.DefaultTimestampUTC))
 	if err != nil {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -168,7 +168,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+healthPath, t.serveHealth)
 	mux.HandleFunc("GET "+loadPath, t.serveLoad)
-	mux.HandleFunc("/", t.serveWork)
+	mux.Handle("/", t.traced(t.serveWork))
 	return mux
 }
 
--- a/standin/workload/headers.go
+++ b/standin/workload/headers.go
@@ -26,6 +26,15 @@
 	OutcomeUnknown = "unknown"
 )
 
+// Attributes of the spans of callers and targets.
+const (
+	AttributeRequestID = "request.id"
+	AttributeFlow      = "flow.id"
+	AttributeService   = "service"
+	AttributeTarget    = "target"
+	AttributeOutcome   = "outcome"
+)
+
 // Query parameters of a request's path.
 const (
 	// QuerySize asks for an answer of so many bytes.
