--- a/standin/reconcile/reconcile.go
+++ b/standin/reconcile/reconcile.go
@@ -17,16 +17,25 @@
 	requests map[string]*workload.Request
 	runs     map[string][]workload.Run
 	ids      map[string][]string
+	// givenUp holds the targets whose flows operators gave up, givenUpFlows
+	// the flows that were there.
+	givenUp      map[string]bool
+	givenUpFlows map[string]bool
 }
 
 // Reconcile compares the ledgers of all callers and targets of a scenario.
-// Findings are in the order of their kinds and subjects.
-func Reconcile(callers []workload.CallerLedger, targets Targets) Report {
+// Findings are in the order of their kinds and subjects. Broken flows and lost
+// requests at the targets that were given up are no findings; they are counted.
+func Reconcile(callers []workload.CallerLedger, targets Targets, givenUp ...string) Report {
 	c := &checker{
 		callers: callers, targets: targets,
 		requests: make(map[string]*workload.Request),
 		runs:     make(map[string][]workload.Run),
 		ids:      make(map[string][]string),
+		givenUp:  make(map[string]bool), givenUpFlows: make(map[string]bool),
+	}
+	for _, target := range givenUp {
+		c.givenUp[target] = true
 	}
 	c.index()
 	for i := range callers {
@@ -114,6 +123,13 @@
 	for i := range ledger.Flows {
 		flow := &ledger.Flows[i]
 		c.report.Moves += len(flow.Moves)
+		if c.wasGivenUp(flow) {
+			c.givenUpFlows[flow.ID] = true
+		}
+		if flow.Broken != "" && c.givenUpFlows[flow.ID] {
+			c.report.GivenUpFlows++
+			continue
+		}
 		if flow.Broken != "" {
 			c.report.Totals.BrokenFlows++
 			c.report.add(KindBrokenFlow, flow.ID, "%s (target %s)", flow.Broken, flow.Target)
@@ -121,6 +137,13 @@
 	}
 }
 
+// wasGivenUp reports whether a flow was ever at a target that was given up.
+func (c *checker) wasGivenUp(flow *workload.Flow) bool {
+	return c.givenUp[flow.Target] || slices.ContainsFunc(flow.Moves, func(m workload.Move) bool {
+		return c.givenUp[m.From] || c.givenUp[m.To]
+	})
+}
+
 // checkRequest compares one request with its answer and its runs.
 func (c *checker) checkRequest(r *workload.Request) {
 	switch r.Fault {
@@ -132,6 +155,10 @@
 		c.report.Resets++
 	}
 	switch r.Outcome {
+	case workload.RequestLost:
+		if c.givenUpFlows[r.Flow] {
+			c.report.GivenUpRequests++
+		}
 	case workload.RequestAnswered:
 		c.checkAnswered(r)
 	case workload.RequestRefused:
--- a/standin/reconcile/report.go
+++ b/standin/reconcile/report.go
@@ -71,6 +71,10 @@
 	ForeignRuns int `json:"foreign_runs"`
 	// Resets counts the answers that were given up halfway; they are lost.
 	Resets int `json:"resets"`
+	// GivenUpFlows counts the broken flows at targets that were given up,
+	// GivenUpRequests the lost requests on flows there.
+	GivenUpFlows    int `json:"given_up_flows"`
+	GivenUpRequests int `json:"given_up_requests"`
 	// Moves counts the changes of target of flows.
 	Moves int `json:"moves"`
 }
--- a/standin/scenario/build.go
+++ b/standin/scenario/build.go
@@ -10,6 +10,8 @@
 	"amaranthwheel.example/amaranthwheel/cmd/amaranthwheel",
 	"amaranthwheel.example/amaranthwheel/cmd/amaranthctl",
 	"amaranthwheel.example/amaranthwheel/standin/cmd/standin",
+	"amaranthwheel.example/amaranthwheel/operator/examples/authority",
+	"amaranthwheel.example/amaranthwheel/operator/examples/vatukoula",
 }
 
 // Build builds the programs into a directory.
--- a/standin/scenario/processcmds.go
+++ b/standin/scenario/processcmds.go
@@ -19,6 +19,7 @@
 		"crash":     {"NAME...", 1, cmdCrash},
 		"pause":     {"NAME...", 1, signalAll(syscall.SIGSTOP)},
 		"resume":    {"NAME...", 1, signalAll(syscall.SIGCONT)},
+		"stopping":  {"NAME...", 1, signalAll(syscall.SIGTERM)},
 		"terminate": {"NAME [LIMIT]", 1, cmdTerminate},
 		"await":     {"NAME [LIMIT]", 1, cmdAwait},
 	}
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -32,6 +32,8 @@
 	processes map[string]*process
 	// admins holds the admin address of each name.
 	admins map[string]string
+	// deployment is the one that the script started; nil before.
+	deployment *deployment
 	// faults are the store's switches as last set.
 	faults storeFaults
 }
@@ -96,7 +98,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
 	for _, group := range []map[string]command{
-		processCommands(), standinCommands(), storeCommands(), operatorCommands(), conditionCommands(), fileCommands(),
+		processCommands(), standinCommands(), storeCommands(), operatorCommands(), conditionCommands(), fileCommands(), deploymentCommands(),
 	} {
 		for name, c := range group {
 			out[name] = c.script(name)
