Send an agent its service's members when it subscribes

Cause: an agent that subscribed to a service got the records of its members only with the next digest, up to 7 s after its target was accepted. Ruled out: lost claim messages (both agents answered in the same second) and a lapsed lease.

--- a/internal/core/dissemination/receive.go
+++ b/internal/core/dissemination/receive.go
@@ -25,16 +25,28 @@
 	case core.MemberBuckets:
 		c.receiveBuckets(t, p, &m)
 	case core.Subscribe:
-		session := t.Board.Peers.Sessions[p.node]
-		session.Service = m.Service
-		t.Board.Peers.Sessions[p.node] = session
-		p.known = false // the pull that follows tells its version
+		subscribed(t, p, m.Service)
 	case core.Heartbeat:
 		holds(t, p.node, m.ConfigVersion)
 		c.pullFromAgent(t, p, m.ConfigVersion)
 	}
 }
 
+// subscribed notes the service that an agent follows from now on, and sends
+// the records of its members: the agent decides as soon as it has them.
+func subscribed(t *core.Turn, p *peer, service model.ServiceName) {
+	session := t.Board.Peers.Sessions[p.node]
+	session.Service = service
+	t.Board.Peers.Sessions[p.node] = session
+	p.known = false // the pull that follows tells its version
+	subscriber := core.Subscriber{Role: session.Role, Service: service}
+	for node, m := range t.Board.Members.Records {
+		if node != p.node && subscriber.Follows(&m) {
+			p.pending[node] = struct{}{}
+		}
+	}
+}
+
 // holds notes the version that a peer is known to hold.
 func holds(t *core.Turn, node model.NodeID, version uint64) {
 	session := t.Board.Peers.Sessions[node]
