Keep flows reachable after their target has withdrawn

Cause: TargetLeft cleared the service of the agent's record at once, so the agent dropped the datagrams of the flows that it still held, without an answer: their callers waited for timeouts. The record now stays, as draining, until the last flow has ended; requests are handed over meanwhile. Ruled out: lost datagrams (the flows were silent for as long as the target was away) and admission (no verdict was given at all).

--- a/internal/core/lifecycle/controller.go
+++ b/internal/core/lifecycle/controller.go
@@ -14,7 +14,10 @@
 	options Options
 	// announcement is what the target said last, nil without a target.
 	announcement *core.Announcement
-	findings     []findings.Finding
+	// withdrawn is set between the target's withdrawal and the end of the last
+	// flow that the agent holds for it.
+	withdrawn bool
+	findings  []findings.Finding
 	// generation is the configuration generation of the newest check.
 	generation uint64
 	// stopAt and leftAt are when the planned stop began and the node left.
@@ -33,8 +36,7 @@
 	case core.TargetAnnounced:
 		c.announced(t, ev.Announcement)
 	case core.TargetLeft:
-		c.announcement = nil
-		c.findings = nil
+		c.withdrawn = c.announcement != nil
 	case core.StopRequested:
 		c.requestStop(t)
 	case core.MessageReceived:
@@ -48,6 +50,7 @@
 
 func (c *Controller) announced(t *core.Turn, a core.Announcement) {
 	c.announcement = &a
+	c.withdrawn = false
 	t.Board.Self.Subscription = a.Service
 	c.check(t)
 	t.Emit(core.AnnouncementChecked{Target: a.Target, Findings: c.findings})
@@ -109,9 +112,11 @@
 	self := &t.Board.Self
 	cfg := t.Board.Config.Current
 	self.Out = cfg.DomainOut(self.Member.Domain)
-	self.Announced = c.announcement != nil && len(c.findings) == 0
+	c.forgetTarget(t)
+	accepted := c.announcement != nil && len(c.findings) == 0
+	self.Announced = accepted && !c.withdrawn
 	next := self.Member
-	c.describeTarget(&next, cfg, self.Announced)
+	c.describeTarget(&next, cfg, accepted)
 	next.State = c.state(self, cfg)
 	if next == self.Member {
 		return
@@ -120,6 +125,16 @@
 	self.Member = next
 }
 
+// forgetTarget drops a withdrawn target once no flow is held for it. Until then
+// the agent remains the holder of its flows and hands their requests over.
+func (c *Controller) forgetTarget(t *core.Turn) {
+	if c.withdrawn && (t.Board.Flows.Held == 0 || len(c.findings) > 0) {
+		c.announcement = nil
+		c.withdrawn = false
+		c.findings = nil
+	}
+}
+
 func (c *Controller) describeTarget(m *model.Member, cfg *model.Config, announced bool) {
 	m.Service, m.Target, m.Slots, m.Connections = "", "", 0, 0
 	if !announced {
@@ -136,7 +151,7 @@
 	if !c.leftAt.IsZero() {
 		return model.StateLeft
 	}
-	draining := c.announcement != nil && (c.announcement.Draining || cfg.TargetDrained(c.announcement.Target))
+	draining := c.announcement != nil && (c.withdrawn || c.announcement.Draining || cfg.TargetDrained(c.announcement.Target))
 	if self.Stopping || draining {
 		return model.StateDraining
 	}
--- a/internal/core/lifecycle/controller_test.go
+++ b/internal/core/lifecycle/controller_test.go
@@ -178,3 +178,18 @@
 		})
 	}
 }
+
+func TestWithdrawnTargetKeepsItsFlowsReachable(t *testing.T) {
+	node, b := newAgent()
+	node.Step(start, core.TargetAnnounced{Announcement: announcement()})
+	b.Flows.Held = 1
+	node.Step(start, core.TargetLeft{})
+	if m := b.Self.Member; b.Self.Announced || m.Service != "drawings" || m.State != model.StateDraining {
+		t.Errorf("announced %t, record %+v, want a draining record of the service while a flow is held", b.Self.Announced, m)
+	}
+	b.Flows.Held = 0
+	node.Step(start.Add(time.Second), core.Tick{})
+	if m := b.Self.Member; m.Service != "" || m.State != model.StateAlive {
+		t.Errorf("record %+v, want no service after the last flow", m)
+	}
+}
