--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -75,7 +75,7 @@
 }
 
 // MemberSection is the known members, gone ones included until forgotten.
-// Writer: membership controller (package membership).
+// Writer: membership controller (package membership), through Put and Remove.
 type MemberSection struct {
 	Records map[model.NodeID]model.Member
 	// Generation rises with every change to Records.
@@ -91,6 +91,8 @@
 	// Unheard lists the nodes that this balancer watches and that have not
 	// sent it a heartbeat for a while: they may not know it yet.
 	Unheard []model.NodeID
+	// log remembers the records changed in the latest generations.
+	log memberLog
 }
 
 // Session is an open control session with a peer.
