--- a/standin/reconcile/command.go
+++ b/standin/reconcile/command.go
@@ -22,7 +22,7 @@
 type options struct {
 	callers, targets, allowed, givenUp []string
 	prefix, jsonFile                   string
-	maxLost                            int
+	maxLost, maxCut                    int
 }
 
 // Command returns the subcommand that compares ledgers. It fails with
@@ -38,6 +38,7 @@
 			&cli.StringSliceFlag{Name: "allow", Usage: "kind of finding that is no failure", Destination: &o.allowed},
 			&cli.StringSliceFlag{Name: "given-up", Usage: "target whose flows operators gave up", Destination: &o.givenUp},
 			&cli.IntFlag{Name: "max-lost", Usage: "bound on lost requests; -1 has none", Value: noBound, Destination: &o.maxLost},
+			&cli.IntFlag{Name: "max-cut", Usage: "bound on lost requests that were sent on flows not given up; -1 has none", Value: noBound, Destination: &o.maxCut},
 			&cli.StringFlag{Name: "prefix", Usage: "first word of the last line", Value: "demo", Destination: &o.prefix},
 			&cli.StringFlag{Name: "json", Usage: "file that receives the report", Destination: &o.jsonFile},
 		},
@@ -87,6 +88,9 @@
 	if lost := report.Totals.Lost - report.GivenUpRequests; o.maxLost != noBound && lost > o.maxLost {
 		return fmt.Errorf("%w: %d requests lost, at most %d allowed", ErrFindings, lost, o.maxLost)
 	}
+	if o.maxCut != noBound && report.Cut > o.maxCut {
+		return fmt.Errorf("%w: %d requests cut, at most %d allowed", ErrFindings, report.Cut, o.maxCut)
+	}
 	return nil
 }
 
--- a/standin/reconcile/reconcile.go
+++ b/standin/reconcile/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"amaranthwheel.example/amaranthwheel/standin/workload"
 )
@@ -21,6 +22,8 @@
 	// the flows that were there.
 	givenUp      map[string]bool
 	givenUpFlows map[string]bool
+	// answeredFlows holds the flows that had an answer.
+	answeredFlows map[string]bool
 }
 
 // Reconcile compares the ledgers of all callers and targets of a scenario.
@@ -33,6 +36,7 @@
 		runs:     make(map[string][]workload.Run),
 		ids:      make(map[string][]string),
 		givenUp:  make(map[string]bool), givenUpFlows: make(map[string]bool),
+		answeredFlows: make(map[string]bool),
 	}
 	for _, target := range givenUp {
 		c.givenUp[target] = true
@@ -123,6 +127,7 @@
 	for i := range ledger.Flows {
 		flow := &ledger.Flows[i]
 		c.report.Moves += len(flow.Moves)
+		c.answeredFlows[flow.ID] = flow.Target != ""
 		if c.wasGivenUp(flow) {
 			c.givenUpFlows[flow.ID] = true
 		}
@@ -144,6 +149,15 @@
 	})
 }
 
+// domainOutReason is why an agent closes flows whose failure domain is out.
+const domainOutReason = "failure domain out"
+
+// givenUpBeforeAnswer reports whether an agent gave up a flow that had no
+// answer yet, so that its target is unknown.
+func (c *checker) givenUpBeforeAnswer(r *workload.Request) bool {
+	return len(c.givenUp) > 0 && !c.answeredFlows[r.Flow] && strings.Contains(r.Error, domainOutReason)
+}
+
 // checkRequest compares one request with its answer and its runs.
 func (c *checker) checkRequest(r *workload.Request) {
 	switch r.Fault {
@@ -156,8 +170,13 @@
 	}
 	switch r.Outcome {
 	case workload.RequestLost:
-		if c.givenUpFlows[r.Flow] {
+		switch {
+		case r.Flow == "":
+			c.report.Unsent++
+		case c.givenUpFlows[r.Flow], c.givenUpBeforeAnswer(r):
 			c.report.GivenUpRequests++
+		default:
+			c.report.Cut++
 		}
 	case workload.RequestAnswered:
 		c.checkAnswered(r)
--- a/standin/reconcile/report.go
+++ b/standin/reconcile/report.go
@@ -75,6 +75,10 @@
 	// GivenUpRequests the lost requests on flows there.
 	GivenUpFlows    int `json:"given_up_flows"`
 	GivenUpRequests int `json:"given_up_requests"`
+	// Unsent counts the lost requests for which no flow could be opened, Cut
+	// those on flows that were not given up.
+	Unsent int `json:"unsent"`
+	Cut    int `json:"cut"`
 	// Moves counts the changes of target of flows.
 	Moves int `json:"moves"`
 }
