Put the claim and keyed sections on the blackboard; complete the admin API

The admin API left out the cluster's name and a flow's last datagram, and named a home that was still placing a flow as its holder (seen in a trial of amaranthctl explain). Ruled out: keeping two ways to share state between controllers. Requests link to the trace of their flow, in which the balancer's hop stands.

Conclusion: every section is on the board, with its writer named.

--- a/internal/agent/front/front_test.go
+++ b/internal/agent/front/front_test.go
@@ -81,9 +81,8 @@
 	board := core.NewBoard(self)
 	board.Self.Announced = true
 	board.Lease.ValidUntil = time.Now().Add(time.Hour)
-	section, keyed := core.NewClaimSection(), &core.KeyedSection{}
-	c := claims.New(section, keyed)
-	a.node = core.NewNode(board, 1, c, admission.New(section, keyed), c.Recorder())
+	c := claims.New()
+	a.node = core.NewNode(board, 1, c, admission.New(), c.Recorder())
 	opts.Decider, opts.TLS, opts.Service, opts.OpenStream = a, serverTLS(t), service.ID(), a.openStream
 	a.front = New(opts)
 	a.Submit(core.TargetAnnounced{Announcement: core.Announcement{Slots: slots, Instance: "1"}})
--- a/internal/agent/front/request.go
+++ b/internal/agent/front/request.go
@@ -12,6 +12,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
 	"amaranthwheel.example/amaranthwheel/internal/model"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
 )
 
 // serveCaller serves a request that came from a caller.
@@ -63,7 +64,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := f.tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := f.tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithLinks(trace.Link{SpanContext: obs.FlowSpan(ev.Flow)}))
 	defer span.End()
 	ev.Method = r.Method
 	ev.Idempotent = idempotent(r.Method)
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -90,15 +90,14 @@
 		return fmt.Errorf("listen for announcements: %w", err)
 	}
 	self := p.base.Member(model.RoleAgent)
-	claimSection, keyed := core.NewClaimSection(), new(core.KeyedSection)
-	claimController := claims.New(claimSection, keyed)
+	claimController := claims.New()
 	node := core.NewNode(core.NewBoard(self), self.Incarnation,
 		lifecycle.New(lifecycle.Options{DrainLimit: p.settings.StopTimeout}),
 		configuration.New(configuration.Options{}),
 		membership.New(membership.Options{}),
 		routing.New(),
 		claimController,
-		admission.New(claimSection, keyed),
+		admission.New(),
 		claimController.Recorder(),
 		p.directory,
 		dissemination.New(dissemination.Options{Seeds: p.settings.Seeds}),
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -14,15 +14,16 @@
 func (p *Process) adminNode(metrics http.Handler) admin.Node {
 	return admin.Node{
 		Inspector: p.base,
-		Status:    agentStatus,
+		Status:    p.status,
 		Flows:     p.flows,
 		Explain:   p.explain,
 		Metrics:   metrics,
 	}
 }
 
-// agentStatus completes the admin API's status.
-func agentStatus(b *core.Board, s *adminapi.Status) {
+// status completes the admin API's status.
+func (p *Process) status(b *core.Board, s *adminapi.Status) {
+	s.Cluster = p.settings.Cluster
 	s.Load = &adminapi.Load{
 		Limit: b.Load.Limit, Slots: b.Self.Member.Slots,
 		InFlight: b.Load.InFlight, Queued: b.Load.Queued, Cold: b.Load.Cold,
@@ -45,7 +46,7 @@
 func flowOf(b *core.Board, f directory.HeldFlow) adminapi.Flow {
 	return adminapi.Flow{
 		Caller: f.Flow.Caller, Service: b.Self.Member.Service,
-		Established: f.Established, Since: f.Since.UTC(), Home: f.Home,
+		Established: f.Established, Since: f.Since.UTC(), LastSeen: f.LastSeen.UTC(), Home: f.Home,
 	}
 }
 
--- a/internal/balancer/process.go
+++ b/internal/balancer/process.go
@@ -157,6 +157,7 @@
 
 // status completes the admin API's status.
 func (p *Process) status(_ *core.Board, s *adminapi.Status) {
+	s.Cluster = p.settings.Cluster
 	s.Store = p.store.report()
 }
 
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -23,11 +23,8 @@
 )
 
 // Controller is the admission controller of an agent. It writes the board's
-// LoadSection and RequestSection, and the keyed section given to New.
+// LoadSection, RequestSection and KeyedSection.
 type Controller struct {
-	claims *core.ClaimSection
-	keyed  *core.KeyedSection
-
 	target    core.Announcement
 	limiter   limiter
 	budget    budget
@@ -39,12 +36,9 @@
 	rest      time.Duration
 }
 
-// New returns a controller without a target. It reads the claims and reports
-// the progress of keyed requests in keyed.
-func New(claims *core.ClaimSection, keyed *core.KeyedSection) *Controller {
+// New returns a controller without a target.
+func New() *Controller {
 	return &Controller{
-		claims:   claims,
-		keyed:    keyed,
 		budget:   newBudget(),
 		peers:    newPeerLoad(),
 		requests: make(map[core.RequestID]*request),
@@ -53,14 +47,14 @@
 
 // Handle implements core.Controller.
 func (c *Controller) Handle(t *core.Turn, ev core.Event) {
-	c.keyed.Changes = c.keyed.Changes[:0]
+	t.Board.Keyed.Changes = t.Board.Keyed.Changes[:0]
 	switch ev := ev.(type) {
 	case core.TargetAnnounced:
 		c.announced(ev.Announcement)
 	case core.RequestArrived:
 		c.arrive(t, ev)
 	case core.RequestCancelled:
-		c.cancelled(ev.ID)
+		c.cancelled(t, ev.ID)
 	case core.RequestFinished:
 		c.finished(t, ev)
 	case core.TargetClosed:
@@ -88,7 +82,7 @@
 // applyServiceLimit sets the hard limit: the target's slots, at most those
 // that the service allows.
 func (c *Controller) applyServiceLimit(t *core.Turn) {
-	slots := c.target.Slots
+	slots := max(0, c.target.Slots)
 	s := t.Board.Config.Current.Service(t.Board.Self.Member.Service)
 	if s != nil && s.MaxSlots > 0 {
 		slots = min(slots, s.MaxSlots)
@@ -122,7 +116,7 @@
 
 // cancelled drops a request that is in no attempt. A grant that was not
 // carried out frees its slot at once.
-func (c *Controller) cancelled(id core.RequestID) {
+func (c *Controller) cancelled(t *core.Turn, id core.RequestID) {
 	r := c.requests[id]
 	if r == nil || r.phase == phaseEnded {
 		return
@@ -130,7 +124,7 @@
 	if r.phase == phaseRunning {
 		c.freeSlot(r)
 	}
-	c.end(r, core.KeyedChange{State: core.KeyedNotRun})
+	c.end(t, r, core.KeyedChange{State: core.KeyedNotRun})
 }
 
 // finished handles the end of an attempt at the target.
@@ -231,7 +225,7 @@
 func (c *Controller) fetched(t *core.Turn, r *request, ev core.HandOverFinished) {
 	switch ev.Outcome {
 	case core.OutcomeAnswered, core.OutcomeAborted:
-		c.end(r, core.KeyedChange{State: core.KeyedNotRun})
+		c.end(t, r, core.KeyedChange{State: core.KeyedNotRun})
 	default:
 		c.refuse(t, r, core.RefuseKeyDone, false)
 	}
@@ -268,10 +262,10 @@
 }
 
 // report notes the progress of a keyed request.
-func (c *Controller) report(r *request, change core.KeyedChange) {
+func (c *Controller) report(t *core.Turn, r *request, change core.KeyedChange) {
 	if !r.keyed() {
 		return
 	}
 	change.ID = r.arrived.ID
-	c.keyed.Changes = append(c.keyed.Changes, change)
+	t.Board.Keyed.Changes = append(t.Board.Keyed.Changes, change)
 }
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -39,7 +39,7 @@
 	if r.phase != phaseWaiting || !r.keyed() {
 		return false
 	}
-	claim := c.claims.Claims[r.arrived.ID]
+	claim := t.Board.Claims.Claims[r.arrived.ID]
 	switch claim.State {
 	case core.ClaimGranted:
 		return false
@@ -48,7 +48,7 @@
 		return false
 	case core.ClaimReplay:
 		t.Emit(core.ReplayAnswer{ID: r.arrived.ID, Answer: claim.Answer})
-		c.end(r, core.KeyedChange{State: core.KeyedNotRun})
+		c.end(t, r, core.KeyedChange{State: core.KeyedNotRun})
 		return false
 	case core.ClaimAtHolder:
 		c.fetchAnswer(t, r, claim.Holder)
@@ -140,7 +140,7 @@
 	r.sent = t.Now
 	r.tried++
 	t.Board.Requests.Admitted++
-	c.report(r, core.KeyedChange{State: core.KeyedStarted})
+	c.report(t, r, core.KeyedChange{State: core.KeyedStarted})
 	t.Emit(core.GrantRequest{ID: r.arrived.ID, Deadline: r.deadline})
 }
 
@@ -158,7 +158,7 @@
 	switch e.outcome {
 	case core.OutcomeAnswered:
 		t.Board.Requests.Finished++
-		c.end(r, core.KeyedChange{State: core.KeyedAnswered, Status: e.status, Answer: e.answer})
+		c.end(t, r, core.KeyedChange{State: core.KeyedAnswered, Status: e.status, Answer: e.answer})
 	case core.OutcomeShed, core.OutcomeNotSent:
 		if e.outcome == core.OutcomeShed && !r.arrived.Replayable {
 			c.refuse(t, r, e.reason, true)
@@ -167,7 +167,7 @@
 		c.handOverOrRefuse(t, r, e.reason)
 	case core.OutcomeAborted:
 		t.Board.Requests.OutcomeUnknown++
-		c.end(r, core.KeyedChange{State: core.KeyedUnknown})
+		c.end(t, r, core.KeyedChange{State: core.KeyedUnknown})
 	default:
 		c.refuse(t, r, unknownReason(t, r), false)
 	}
@@ -222,7 +222,7 @@
 	r.tried++
 	r.handOvers++
 	t.Board.Requests.HandedOver++
-	c.report(r, core.KeyedChange{State: core.KeyedStarted})
+	c.report(t, r, core.KeyedChange{State: core.KeyedStarted})
 	t.Emit(core.HandOver{
 		ID:       r.arrived.ID,
 		To:       peer.Member.Node,
@@ -245,12 +245,12 @@
 		t.Board.Requests.OutcomeUnknown++
 	}
 	t.Emit(core.RefuseRequest{ID: r.arrived.ID, Reason: reason, NotRun: notRun})
-	c.end(r, core.KeyedChange{State: state})
+	c.end(t, r, core.KeyedChange{State: state})
 }
 
 // end ends a request. It is kept while it holds a slot.
-func (c *Controller) end(r *request, change core.KeyedChange) {
-	c.report(r, change)
+func (c *Controller) end(t *core.Turn, r *request, change core.KeyedChange) {
+	c.report(t, r, change)
 	c.waiting.remove(r)
 	r.phase = phaseEnded
 	if !r.slot {
--- a/internal/core/admission/model_test.go
+++ b/internal/core/admission/model_test.go
@@ -16,16 +16,13 @@
 	now    time.Time
 	rand   *rand.Rand
 	node   *core.Node
-	claims *core.ClaimSection
-	keyed  *core.KeyedSection
 	lastID core.RequestID
 	// effects since the last take.
 	effects []core.RequestEffect
 }
 
 func newBench(seed uint64, slots int) *bench {
-	b := &bench{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)),
-		claims: core.NewClaimSection(), keyed: &core.KeyedSection{}}
+	b := &bench{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2))}
 	self := model.Member{Node: "self", Service: service, State: model.StateAlive}
 	board := core.NewBoard(self)
 	board.Self.Announced = true
@@ -34,7 +31,7 @@
 		view.Candidates = append(view.Candidates, core.Candidate{Member: model.Member{Node: n}, Admits: true})
 	}
 	board.Routes.Views[service.ID()] = view
-	b.node = core.NewNode(board, seed, New(b.claims, b.keyed))
+	b.node = core.NewNode(board, seed, New())
 	b.announce(slots, "1")
 	return b
 }
--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -18,6 +18,8 @@
 	Flows    FlowSection
 	Load     LoadSection
 	Requests RequestSection
+	Claims   ClaimSection
+	Keyed    KeyedSection
 }
 
 // NewBoard returns the board of a node that has just started.
@@ -28,6 +30,7 @@
 		Members: MemberSection{Records: make(map[model.NodeID]model.Member)},
 		Peers:   PeerSection{Sessions: make(map[model.NodeID]Session)},
 		Routes:  RouteSection{Views: make(map[model.ServiceID]*View)},
+		Claims:  ClaimSection{Claims: make(map[RequestID]Claim)},
 	}
 }
 
--- a/internal/core/claims/controller.go
+++ b/internal/core/claims/controller.go
@@ -20,13 +20,10 @@
 	expireInterval = time.Second
 )
 
-// Controller is the claims controller of an agent. It writes the claim section
-// given to New and runs before the admission controller; its Recorder runs
-// after it.
+// Controller is the claims controller of an agent. It writes the board's
+// ClaimSection and runs before the admission controller; its Recorder runs after
+// it.
 type Controller struct {
-	section *core.ClaimSection
-	keyed   *core.KeyedSection
-
 	table    table
 	pending  map[core.RequestID]*pending
 	granted  map[core.RequestID]*record
@@ -42,12 +39,9 @@
 	round      uint64
 }
 
-// New returns a controller that writes the claims and reads the progress of
-// keyed requests.
-func New(section *core.ClaimSection, keyed *core.KeyedSection) *Controller {
+// New returns a controller without records.
+func New() *Controller {
 	return &Controller{
-		section: section,
-		keyed:   keyed,
 		table:   newTable(),
 		pending: make(map[core.RequestID]*pending),
 		granted: make(map[core.RequestID]*record),
--- a/internal/core/claims/fleet_test.go
+++ b/internal/core/claims/fleet_test.go
@@ -101,9 +101,8 @@
 	a.down = false
 	board := core.NewBoard(a.member(model.StateAlive))
 	board.Self.Announced = true
-	section, keyed := core.NewClaimSection(), &core.KeyedSection{}
-	c := New(section, keyed)
-	a.node = core.NewNode(board, a.incarnation, c, admission.New(section, keyed), c.Recorder())
+	c := New()
+	a.node = core.NewNode(board, a.incarnation, c, admission.New(), c.Recorder())
 	f.step(a, core.TargetAnnounced{Announcement: core.Announcement{Slots: targetSlots, Instance: "1"}})
 }
 
--- a/internal/core/claims/recorder.go
+++ b/internal/core/claims/recorder.go
@@ -12,7 +12,7 @@
 
 // Handle implements core.Controller.
 func (r *recorder) Handle(t *core.Turn, _ core.Event) {
-	for _, change := range r.claims.keyed.Changes {
+	for _, change := range t.Board.Keyed.Changes {
 		if change.State != core.KeyedStarted {
 			r.claims.ended(t, change)
 		}
@@ -21,7 +21,7 @@
 
 // ended records the outcome of a keyed request.
 func (c *Controller) ended(t *core.Turn, change core.KeyedChange) {
-	delete(c.section.Claims, change.ID)
+	delete(t.Board.Claims.Claims, change.ID)
 	if p := c.pending[change.ID]; p != nil {
 		delete(c.pending, change.ID)
 		c.release(t, p)
--- a/internal/core/claims/requester.go
+++ b/internal/core/claims/requester.go
@@ -22,7 +22,7 @@
 	if ev.Key == "" || ev.HandedOver && !ev.ReplayOnly {
 		return
 	}
-	if _, known := c.section.Claims[ev.ID]; known {
+	if _, known := t.Board.Claims.Claims[ev.ID]; known {
 		return
 	}
 	key := hashKey(ev.Flow.Service, ev.Key)
@@ -34,13 +34,13 @@
 	held := c.table.records[key]
 	switch {
 	case ev.ReplayOnly && !held.live():
-		c.section.Claims[ev.ID] = refused(core.RefuseKeyUnknown)
+		t.Board.Claims.Claims[ev.ID] = refused(core.RefuseKeyUnknown)
 	case held.live() && held.claim.node == self.Node || ev.ReplayOnly:
-		c.section.Claims[ev.ID] = c.verdict(t, r, held)
+		t.Board.Claims.Claims[ev.ID] = c.verdict(t, r, held)
 	case c.table.full():
-		c.section.Claims[ev.ID] = refused(core.RefuseKeyUnsettled)
+		t.Board.Claims.Claims[ev.ID] = refused(core.RefuseKeyUnsettled)
 	default:
-		c.section.Claims[ev.ID] = core.Claim{State: core.ClaimPending}
+		t.Board.Claims.Claims[ev.ID] = core.Claim{State: core.ClaimPending}
 		p := &pending{record: r}
 		c.pending[ev.ID] = p
 		c.ask(t, p)
@@ -97,7 +97,7 @@
 	case r.claim != claim:
 		delete(c.pending, claim.request)
 		c.release(t, p)
-		c.section.Claims[claim.request] = c.verdict(t, p.record, r)
+		t.Board.Claims.Claims[claim.request] = c.verdict(t, p.record, r)
 	}
 }
 
@@ -112,7 +112,7 @@
 		c.table.put(r, t.Now)
 	}
 	c.granted[id] = r
-	c.section.Claims[id] = core.Claim{State: core.ClaimGranted}
+	t.Board.Claims.Claims[id] = core.Claim{State: core.ClaimGranted}
 }
 
 // giveBack frees a key that was granted to a request that has ended. A grant
--- a/internal/core/directory/holding.go
+++ b/internal/core/directory/holding.go
@@ -22,6 +22,7 @@
 // deliver hands a datagram to the local end of a held flow. In mode flow,
 // which has no handshake, that establishes the flow.
 func (c *Controller) deliver(t *core.Turn, flow model.FlowKey, payload []byte) {
+	c.held[flow].lastSeen = t.Now
 	t.Emit(core.Deliver{Flow: flow, Payload: payload})
 	if v := c.view(t); v != nil && v.Mode == model.ModeFlow {
 		c.established(flow)
--- a/internal/core/directory/inspect.go
+++ b/internal/core/directory/inspect.go
@@ -15,11 +15,13 @@
 	Established bool
 	// Home is the agent that was told of the flow last.
 	Home model.NodeID
+	// LastSeen is when a datagram of the flow last arrived.
+	LastSeen time.Time
 }
 
 // Entry describes what the agent knows of a flow as its home.
 type Entry struct {
-	// Holder is empty while the flow is being placed.
+	// Holder is empty while the flow is being placed, here or at another home.
 	Holder      model.NodeID
 	Incarnation uint64
 	Since       time.Time
@@ -48,7 +50,7 @@
 }
 
 func describe(flow model.FlowKey, f *heldFlow) HeldFlow {
-	return HeldFlow{Flow: flow, Since: f.since, Established: f.established, Home: f.home}
+	return HeldFlow{Flow: flow, Since: f.since, Established: f.established, Home: f.home, LastSeen: f.lastSeen}
 }
 
 // Lookup describes the entry of a flow whose home the agent is.
@@ -57,7 +59,7 @@
 	if !ok {
 		return Entry{}, false
 	}
-	if e.phase != phaseHeld && e.phase != phaseYielded {
+	if e.phase != phaseHeld {
 		return Entry{}, true
 	}
 	return Entry{Holder: e.holder, Incarnation: e.incarnation, Since: e.since, Established: e.established}, true
--- a/internal/core/directory/state.go
+++ b/internal/core/directory/state.go
@@ -10,6 +10,7 @@
 // heldFlow is a flow that this agent holds.
 type heldFlow struct {
 	since       time.Time
+	lastSeen    time.Time
 	established bool
 	// home and homeIncarnation identify the home that was told last.
 	home            model.NodeID
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -33,11 +33,6 @@
 	Claims map[RequestID]Claim
 }
 
-// NewClaimSection returns an empty section.
-func NewClaimSection() *ClaimSection {
-	return &ClaimSection{Claims: make(map[RequestID]Claim)}
-}
-
 // KeyedState is how far a request with a granted key has come.
 type KeyedState uint8
 
