--- a/standin/capacity/bursts.go
+++ b/standin/capacity/bursts.go
@@ -12,15 +12,19 @@
 	// bytes is the least that a balancer receives: each change once, without
 	// headers.
 	bytes float64
-	// processor is the seconds spent on views if each change comes alone.
+	// processor is the most that all controllers and the packet path spend, in
+	// seconds: each change comes alone, and every tick until the time in which
+	// changes have to be in force brings one.
 	processor float64
 }
 
 // burstOf returns the burst of nodes that change several times each.
 func (e Estimate) burstOf(nodes, events float64) burst {
 	records := nodes * events
-	perChange := e.Slopes.Timing.MemberChange.Median + e.Slopes.Timing.SetViews.Median
-	return burst{records, records * e.Slopes.Frames.Member.Message, records * perChange}
+	t := e.Slopes.Timing
+	ticks := min(records, e.Budget.InForce/e.Protocol.TickInterval)
+	processor := records*(t.MemberChange.Median+t.SetViews.Median) + ticks*t.WholeChange.Median
+	return burst{records, records * e.Slopes.Frames.Member.Message, processor}
 }
 
 // burstCell judges how long the burst takes at the control budget.
@@ -32,10 +36,10 @@
 	return c.limited("19 s at 7 KB/s", atBudget, e.Budget.InForce)
 }
 
-// burstProcessorCell judges the time spent on views.
+// burstProcessorCell judges the processor time.
 func (e Estimate) burstProcessorCell(b burst) Cell {
 	share := b.processor / e.Budget.InForce
-	c := Cell{Figure: fmt.Sprintf("%s, %s over 19 s", formatSeconds(b.processor), formatShare(share)), Mechanism: "`core/routing`, `balancer`", Source: FromSlopes}
+	c := Cell{Figure: fmt.Sprintf("at most %s, %s over 19 s", formatSeconds(b.processor), formatShare(share)), Mechanism: "all controllers, `balancer`", Source: FromSlopes}
 	return c.limited("4.4 %", share, e.Budget.Processor)
 }
 
--- a/standin/capacity/estimate.go
+++ b/standin/capacity/estimate.go
@@ -58,10 +58,11 @@
 	return traffic{perSecond * (pingBytes + tcpHeaders), perSecond * (pingBytes + tcpHeaders)}
 }
 
-// digestTraffic is the digests of both sides over n sessions.
-func (e Estimate) digestTraffic(n float64) traffic {
-	perSecond := n / e.Protocol.DigestInterval
-	return messages(perSecond, perSecond, e.Slopes.Frames.Digest.Stream)
+// digestTraffic is the digests sent and received over numbers of sessions.
+// Only balancers send them.
+func (e Estimate) digestTraffic(sent, received float64) traffic {
+	interval := e.Protocol.DigestInterval
+	return messages(sent/interval, received/interval, e.Slopes.Frames.Digest.Stream)
 }
 
 // memberChanges returns the record changes of the whole fleet in a second.
--- a/standin/capacity/page.go
+++ b/standin/capacity/page.go
@@ -143,6 +143,7 @@
 		{"Balancer: views after one record changed", t.MemberChange},
 		{"Balancer: views after one object changed", t.ConfigChange},
 		{"Balancer: all views", t.FullMap},
+		{"Balancer: one record changed, all controllers and a tick", t.WholeChange},
 		{"Balancer: the packet path takes new views", t.SetViews},
 		{"Agent: a new flow at its home", t.NewFlowHome},
 		{"Agent: a new flow where it is admitted", t.NewFlowHolder},
--- a/standin/capacity/roles.go
+++ b/standin/capacity/roles.go
@@ -14,7 +14,7 @@
 	ownWatchers := e.Protocol.Watchers * e.Protocol.HeartbeatsPerSecond
 	beats := watched * e.Protocol.HeartbeatsPerSecond
 	heartbeats := messages(ownWatchers, beats, f.Heartbeat.Stream).plus(messages(beats, ownWatchers, f.Ack.Stream))
-	digests := e.digestTraffic(sessions)
+	digests := e.digestTraffic(sessions, e.peerSessions())
 	idle := e.sessionTraffic(sessions)
 	members := messages(e.memberChanges()*e.peerSessions(), e.memberChanges()*e.peerSessions(), f.Member.Stream)
 	config := messages(e.configChanges()*e.peerSessions(), e.configChanges()*e.peerSessions(), f.Object.Stream)
@@ -26,9 +26,9 @@
 	records := m.AgentRecords.Median
 	live := views + sockets + sessionMemory + records
 
-	handled := 2*(beats+ownWatchers) + 2*sessions/e.Protocol.DigestInterval
+	handled := 2*(beats+ownWatchers) + (sessions+e.peerSessions())/e.Protocol.DigestInterval
 	messageTime := handled * f.Heartbeat.Processor / 2
-	changeTime := e.memberChanges()*(t.MemberChange.Median+t.SetViews.Median) + e.configChanges()*(t.ConfigChange.Median+t.SetViews.Median)
+	changeTime := e.memberChanges()*(t.WholeChange.Median+t.SetViews.Median) + e.configChanges()*(t.ConfigChange.Median+t.SetViews.Median)
 	return map[string]Cell{
 		"balancer.flows":     {Figure: formatBytes(max(0, m.BalancerFlows.PerUnit())) + " a flow", Mechanism: "`balancer`, `core/routing`", Source: Measured},
 		"balancer.views":     e.memoryCell(views, "`core`, `core/routing`", Measured),
@@ -44,8 +44,9 @@
 		"balancer.config":    e.trafficCell(config, "`core/configuration`, `core/dissemination`", Computed),
 		"balancer.traffic":   e.trafficCell(all, "all of these", Computed),
 		"balancer.messages":  e.processorCell(messageTime, "`control`", Computed),
-		"balancer.changes":   e.processorCell(changeTime, "`core/routing`, `balancer`", FromSlopes),
-		"balancer.ticks":     {Figure: "-", Mechanism: "`core/membership`, `core/dissemination`", Source: NotMeasured, Budget: "4.4 %"},
+		"balancer.changes":   e.processorCell(changeTime, "all controllers, `balancer`", FromSlopes),
+		"balancer.ticks":     e.processorCell(t.Quiet.Median, "all controllers of a balancer", Measured),
+		"balancer.processor": e.processorCell(messageTime+changeTime+t.Quiet.Median, "all of these", Computed),
 		"balancer.packet": {
 			Figure:    fmt.Sprintf("%s; %.1f times the hash alone, %.1f times a flow table", spread(t.Route, formatSeconds), ratio(t.Route, t.HashOnly), ratio(t.Route, t.TableLookup)),
 			Mechanism: "`balancer`, `core/routing`, `wire`", Source: Measured,
@@ -68,7 +69,7 @@
 	beats := sessions * e.Protocol.HeartbeatsPerSecond
 	heartbeats := messages(beats, 0, f.Heartbeat.Stream).plus(messages(0, beats, f.Ack.Stream))
 	followed := e.memberChanges() * float64(e.Plan.Balancers) / float64(e.Plan.Nodes()) * sessions
-	control := heartbeats.plus(e.digestTraffic(sessions)).plus(e.sessionTraffic(sessions)).
+	control := heartbeats.plus(e.digestTraffic(0, sessions)).plus(e.sessionTraffic(sessions)).
 		plus(messages(0, followed, f.Member.Stream))
 	placement := traffic{e.Slopes.Placement.PerAgent, e.Slopes.Placement.PerAgent}
 
@@ -80,7 +81,7 @@
 
 	placementTime := e.Plan.NewFlowsPerTarget()*(t.NewFlowHome.Median+t.NewFlowHolder.Median) + elsewhere/60*t.Registration.Median
 	tickTime := t.Tick.Median / e.Protocol.TickInterval
-	messageTime := 2 * (beats + sessions/e.Protocol.DigestInterval) * f.Heartbeat.Processor / 2
+	messageTime := (2*beats + sessions/e.Protocol.DigestInterval) * f.Heartbeat.Processor / 2
 	return map[string]Cell{
 		"agent.flows":     e.memoryCell(flowMemory, "`core/directory`", FromSlopes),
 		"agent.records":   e.memoryCell(records, "`core`", Measured),
--- a/standin/capacity/timing.go
+++ b/standin/capacity/timing.go
@@ -20,6 +20,9 @@
 	// MemberChange, ConfigChange and FullMap are a balancer's views after one
 	// record or one object changed, and from nothing.
 	MemberChange, ConfigChange, FullMap Sample
+	// Quiet is the share of a core that all controllers of a balancer take
+	// without changes; WholeChange is one changed record with the tick after it.
+	Quiet, WholeChange Sample
 	// SetViews is the packet path's taking of new views.
 	SetViews Sample
 	// NewFlowHome and NewFlowHolder are the placement of a flow at its home and
@@ -64,6 +67,9 @@
 	if err := timeSetViews(p, &t); err != nil {
 		return t, err
 	}
+	if err := timeWholeBalancer(p, &t); err != nil {
+		return t, err
+	}
 	return t, timeAgent(p, &t)
 }
 
