--- a/standin/capacity/protocol.go
+++ b/standin/capacity/protocol.go
@@ -1,5 +1,10 @@
 package capacity
 
+import (
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/topology"
+)
+
 // Protocol is how often the control protocols send, as the packages in internal/core
 // set it by default. It multiplies the measured slopes.
 type Protocol struct {
@@ -38,9 +43,9 @@
 // Defaults returns the protocol with the options that nodes start with.
 func Defaults() Protocol {
 	return Protocol{
-		Watchers: 3, PeerSessions: 4, HeartbeatsPerSecond: 1, DigestInterval: 5,
+		Watchers: topology.WatchersPerNode, PeerSessions: topology.WatchersPerNode + 1, HeartbeatsPerSecond: 1, DigestInterval: 5,
 		EventsPerRestart: 4, EventsPerLoss: 2, SendLimit: 64 << 10, SendBurst: 512 << 10,
-		StoreReaders: 2, StorePollSpacing: 3, WatchAge: 90, KeepAliveInterval: 10, TickInterval: 0.05,
+		StoreReaders: 2, StorePollSpacing: 3, WatchAge: 90, KeepAliveInterval: 10, TickInterval: core.TickInterval.Seconds(),
 	}
 }
 
