--- /dev/null
+++ b/internal/docscheck/code_test.go
@@ -0,0 +1,211 @@
+package docscheck
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// sourceFile is a parsed Go file of the product.
+type sourceFile struct {
+	path string
+	file *ast.File
+}
+
+// productFiles parses the product's Go files without tests and generated code.
+func productFiles(t *testing.T) []sourceFile {
+	t.Helper()
+	var out []sourceFile
+	for _, dir := range []string{"internal", "operator", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			if strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".pb.go") {
+				return nil
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+			out = append(out, sourceFile{path, file})
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+var glossaryType = regexp.MustCompile("`([a-z]+\\.[A-Z][A-Za-z]*)`")
+
+func TestGlossaryTypesExist(t *testing.T) {
+	declared := make(map[string]bool)
+	for _, f := range productFiles(t) {
+		for _, name := range typeNames(f.file) {
+			declared[f.file.Name.Name+"."+name] = true
+		}
+	}
+	matches := glossaryType.FindAllStringSubmatch(mustPage(t, "docs/GLOSSARY.md").text, -1)
+	if len(matches) == 0 {
+		t.Fatal("the glossary names no type")
+	}
+	for _, match := range matches {
+		if !declared[match[1]] {
+			t.Errorf("the glossary names the type %s, which does not exist", match[1])
+		}
+	}
+}
+
+func typeNames(file *ast.File) []string {
+	var out []string
+	for _, decl := range file.Decls {
+		general, ok := decl.(*ast.GenDecl)
+		if !ok || general.Tok != token.TYPE {
+			continue
+		}
+		for _, spec := range general.Specs {
+			out = append(out, spec.(*ast.TypeSpec).Name.Name)
+		}
+	}
+	return out
+}
+
+const metricsPage = "docs/operating/metrics.md"
+
+var metricRow = regexp.MustCompile("(?m)^\\| `amaranthwheel_([a-z_]+)` ")
+
+// TestMetricsAgreeWithCode checks that the page and the code name the same
+// metrics.
+func TestMetricsAgreeWithCode(t *testing.T) {
+	documented := make(map[string]bool)
+	for _, match := range metricRow.FindAllStringSubmatch(mustPage(t, metricsPage).text, -1) {
+		documented[match[1]] = true
+	}
+	emitted := emittedMetrics(t)
+	for name, path := range emitted {
+		if !documented[name] {
+			t.Errorf("%s emits the metric %s, which %s does not have", path, name, metricsPage)
+		}
+	}
+	for name := range documented {
+		if emitted[name] == "" {
+			t.Errorf("%s has the metric %s, which no code emits", metricsPage, name)
+		}
+	}
+}
+
+// forwardedName is the one place that passes a metric's name on: process.Base
+// carries out core.Count.
+const forwardedName = "e.Name"
+
+// emittedMetrics returns the names of the metrics with the file of each. Names
+// that are not string literals are errors.
+func emittedMetrics(t *testing.T) map[string]string {
+	t.Helper()
+	out := make(map[string]string)
+	for _, f := range productFiles(t) {
+		ast.Inspect(f.file, func(n ast.Node) bool {
+			name := metricName(n)
+			if name == nil || expression(name) == forwardedName {
+				return true
+			}
+			text, ok := literal(name)
+			if !ok {
+				t.Errorf("%s: the name of a metric is not a string literal", f.path)
+				return true
+			}
+			out[text] = f.path
+			return true
+		})
+	}
+	return out
+}
+
+// metricName returns the expression that names a metric: the field Name of a
+// core.Count, or the argument of a scope's method.
+func metricName(n ast.Node) ast.Expr {
+	switch n := n.(type) {
+	case *ast.CompositeLit:
+		if expression(n.Type) == "core.Count" {
+			return field(n, "Name")
+		}
+	case *ast.CallExpr:
+		method, ok := n.Fun.(*ast.SelectorExpr)
+		if ok && len(n.Args) > 0 && isMetricMethod(method.Sel.Name) {
+			return n.Args[0]
+		}
+	}
+	return nil
+}
+
+func isMetricMethod(name string) bool {
+	return name == "Counter" || name == "Gauge" || name == "Timer" || name == "Histogram"
+}
+
+func field(lit *ast.CompositeLit, name string) ast.Expr {
+	for _, element := range lit.Elts {
+		pair, ok := element.(*ast.KeyValueExpr)
+		if ok && expression(pair.Key) == name {
+			return pair.Value
+		}
+	}
+	return nil
+}
+
+// expression returns an identifier or a selection such as core.Count as text.
+func expression(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.Ident:
+		return e.Name
+	case *ast.SelectorExpr:
+		return expression(e.X) + "." + e.Sel.Name
+	}
+	return ""
+}
+
+func literal(e ast.Expr) (string, bool) {
+	lit, ok := e.(*ast.BasicLit)
+	if !ok || lit.Kind != token.STRING {
+		return "", false
+	}
+	text, err := strconv.Unquote(lit.Value)
+	return text, err == nil
+}
+
+// TestPackagesAreListed checks that the developers' page names each package.
+func TestPackagesAreListed(t *testing.T) {
+	text := mustPage(t, "docs/CONTRIBUTING.md").text
+	for _, dir := range packageDirs(t) {
+		if !strings.Contains(text, "| `"+dir+"` |") {
+			t.Errorf("docs/CONTRIBUTING.md does not list the package %s", dir)
+		}
+	}
+}
+
+func packageDirs(t *testing.T) []string {
+	t.Helper()
+	seen := make(map[string]bool)
+	var out []string
+	for _, dir := range []string{"cmd", "internal", "operator", "standin"} {
+		err := fs.WalkDir(os.DirFS(root), dir, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" {
+				return err
+			}
+			if parent := filepath.Dir(path); !seen[parent] {
+				seen[parent] = true
+				out = append(out, parent)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
