Answer from the service's address; mend two ways to lose an opening flow

Cause 1: answers left from the agent's data address, which a connected caller drops. They now leave from the service's address where the host has it (the demo's caller is strict about it now). Ruled out: sending them back through a balancer, which would double the traffic.

TestProberInAnOutDomainIsPostponed and TestPostponedProberPlacesNothing: red without the change, green with it.

Cause 3 (scenario, planned stop): a connection accepted while the HTTP/3 server shuts down gets neither answers nor GOAWAY. New connections are now refused, and handshakes under way finish, before the shutdown begins.

Cause 4 (benchmark): all services wrote through one socket, a lock shared by all. Each now sends from its own socket.

Conclusion: an opening flow is placed once, or refused so that the caller can open another.

--- a/internal/agent/answers.go
+++ b/internal/agent/answers.go
@@ -13,9 +13,9 @@
 
 // callerConn is the net.PacketConn of an agent's local end: it reads the
 // callers' datagrams that the node delivers, and sends answers straight to the
-// callers from the data socket.
+// callers from the answer socket.
 type callerConn struct {
-	data    *net.UDPConn
+	answers *net.UDPConn
 	inbound chan inboundDatagram
 	closed  chan struct{}
 	once    sync.Once
@@ -30,9 +30,9 @@
 	caller  netip.AddrPort
 }
 
-func newCallerConn(data *net.UDPConn) *callerConn {
+func newCallerConn(answers *net.UDPConn) *callerConn {
 	return &callerConn{
-		data:    data,
+		answers: answers,
 		inbound: make(chan inboundDatagram, callersQueue),
 		closed:  make(chan struct{}),
 		changed: make(chan struct{}),
@@ -86,17 +86,17 @@
 
 // WriteTo implements net.PacketConn.
 func (c *callerConn) WriteTo(p []byte, addr net.Addr) (int, error) {
-	return c.data.WriteTo(p, addr)
+	return c.answers.WriteTo(p, addr)
 }
 
-// Close implements net.PacketConn. The data socket stays open.
+// Close implements net.PacketConn. The answer socket stays open.
 func (c *callerConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	return nil
 }
 
 // LocalAddr implements net.PacketConn.
-func (c *callerConn) LocalAddr() net.Addr { return c.data.LocalAddr() }
+func (c *callerConn) LocalAddr() net.Addr { return c.answers.LocalAddr() }
 
 // SetReadDeadline implements net.PacketConn.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
--- a/internal/agent/front/front.go
+++ b/internal/agent/front/front.go
@@ -30,7 +30,9 @@
 	maxStreams = 100
 	// handOverHeaderTimeout bounds the reading of a handed-over request's header.
 	handOverHeaderTimeout = 5 * time.Second
-	tracerName            = "amaranthwheel.example/amaranthwheel/internal/agent/front"
+	// handshakeGrace is how long handshakes may take to finish at a stop.
+	handshakeGrace = 200 * time.Millisecond
+	tracerName     = "amaranthwheel.example/amaranthwheel/internal/agent/front"
 )
 
 // Decider takes the front's events to the node. Submit must not call back
@@ -81,6 +83,7 @@
 	mailboxes map[core.RequestID]chan core.RequestEffect
 	transport *quic.Transport
 	lingering sync.WaitGroup
+	closing   atomic.Bool // new connections are refused
 }
 
 // New returns a front without a target.
@@ -134,10 +137,16 @@
 	}
 }
 
-var errTooManyConnections = errors.New("the target takes no more connections")
+var (
+	errTooManyConnections = errors.New("the target takes no more connections")
+	errClosing            = errors.New("the agent is stopping")
+)
 
 // limitConnections rejects handshakes above the target's connection limit.
 func (f *Front) limitConnections(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if f.closing.Load() {
+		return nil, errClosing
+	}
 	if !f.flows.reserve(f.target.Load().Connections) {
 		return nil, errTooManyConnections
 	}
@@ -153,6 +162,7 @@
 // all connections. When the context ends first, what is left is cut off and
 // the context's error returned.
 func (f *Front) Shutdown(ctx context.Context) error {
+	f.refuseConnections(ctx)
 	err := errors.Join(f.server.Shutdown(ctx), f.handOvers.Shutdown(ctx))
 	f.mu.Lock()
 	tr := f.transport
@@ -163,6 +173,17 @@
 	return errors.Join(err, tr.Close())
 }
 
+// refuseConnections refuses new connections and lets handshakes that are under
+// way finish: one that is accepted during the server's shutdown would get
+// neither answers nor a GOAWAY.
+func (f *Front) refuseConnections(ctx context.Context) {
+	f.closing.Store(true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(handshakeGrace):
+	}
+}
+
 // Deliver hands a verdict of the node to the request that it concerns. It
 // reports whether the request was still there.
 func (f *Front) Deliver(e core.RequestEffect) bool {
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -67,9 +68,21 @@
 	p.local = p.openFront(s)
 }
 
+// answerSocket returns the socket that answers leave from: one on the service's
+// address, or the data socket where the host does not have that address.
+func (p *Process) answerSocket(s *model.Service) *net.UDPConn {
+	conn, err := listenAnswers(s.Address)
+	if err != nil {
+		_ = level.Warn(p.logger).Log("msg", "Answers leave from the data address. Callers may drop them.", "err", err)
+		return p.base.Data
+	}
+	context.AfterFunc(p.ctx, func() { _ = conn.Close() })
+	return conn
+}
+
 // openFront opens the local end of a service of mode request.
 func (p *Process) openFront(s *model.Service) localEnd {
-	conn := newCallerConn(p.base.Data)
+	conn := newCallerConn(p.answerSocket(s))
 	f := front.New(front.Options{
 		Decider:     p,
 		TLS:         p.tls,
@@ -84,10 +97,11 @@
 
 // openRelay opens the local end of a service of mode flow.
 func (p *Process) openRelay(s *model.Service, a target) localEnd {
+	answers := p.answerSocket(s)
 	return &flowEnd{relay.New(relay.Options{
 		Events: p,
 		Answer: func(flow model.FlowKey, payload []byte) {
-			_, _ = p.base.Data.WriteToUDPAddrPort(payload, flow.Caller)
+			_, _ = answers.WriteToUDPAddrPort(payload, flow.Caller)
 		},
 		MaxFlows:    a.connections,
 		IdleTimeout: s.IdleTimeout,
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -32,7 +32,6 @@
 // for a datagram.
 type Forwarder struct {
 	keys  wire.Keys
-	data  *net.UDPConn
 	bind  netip.Addr
 	views atomic.Pointer[map[model.ServiceID]*core.View]
 	alive atomic.Int64 // last sign of the loop, nanoseconds since start
@@ -73,10 +72,10 @@
 	address netip.AddrPort
 }
 
-// NewForwarder returns a forwarder that sends from the data socket. Services
-// are bound on bind if it is valid, and on their own addresses otherwise.
-func NewForwarder(keys wire.Keys, data *net.UDPConn, bind netip.Addr) *Forwarder {
-	f := &Forwarder{keys: keys, data: data, bind: bind, start: time.Now(), listeners: make(map[model.ServiceID]*listener)}
+// NewForwarder returns a forwarder without services. Services are bound on bind
+// if it is valid, and on their own addresses otherwise.
+func NewForwarder(keys wire.Keys, bind netip.Addr) *Forwarder {
+	f := &Forwarder{keys: keys, bind: bind, start: time.Now(), listeners: make(map[model.ServiceID]*listener)}
 	f.views.Store(&map[model.ServiceID]*core.View{})
 	return f
 }
@@ -145,7 +144,7 @@
 			}
 			continue
 		}
-		f.forward(buf, n, model.FlowKey{Caller: unmap(caller), Service: id})
+		f.forward(conn, buf, n, model.FlowKey{Caller: unmap(caller), Service: id})
 	}
 }
 
@@ -153,8 +152,9 @@
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
 
-// forward sends the payload of n bytes in buf to the flow's home.
-func (f *Forwarder) forward(buf []byte, n int, flow model.FlowKey) {
+// forward sends the payload of n bytes in buf to the flow's home. Each service
+// sends from its own socket: one socket for all would be a lock for all.
+func (f *Forwarder) forward(conn *net.UDPConn, buf []byte, n int, flow model.FlowKey) {
 	if wire.HeaderSize+n > wire.MaxDatagram {
 		f.Counters.TooLong.Add(1)
 		return
@@ -171,7 +171,7 @@
 		f.OnOpener(flow, home.Node)
 	}
 	f.keys.Encode(buf, &header, n)
-	if _, err := f.data.WriteToUDPAddrPort(buf[:wire.HeaderSize+n], home.Data); err != nil {
+	if _, err := conn.WriteToUDPAddrPort(buf[:wire.HeaderSize+n], home.Data); err != nil {
 		f.Counters.SendFailed.Add(1)
 		return
 	}
--- a/internal/balancer/forwarder_bench_test.go
+++ b/internal/balancer/forwarder_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"testing"
 
@@ -74,25 +75,27 @@
 	})
 }
 
-// BenchmarkForwardParallel adds the send call, once with the one data socket of
-// a forwarder and once with a socket for each goroutine.
+// BenchmarkForwardParallel adds the send call, once with one socket for all
+// goroutines, as in earlier versions, and once with a socket for each, as each
+// service has now.
 func BenchmarkForwardParallel(b *testing.B) {
 	f := newTestForwarder(b, 7)
 	b.Run("one-socket", func(b *testing.B) {
-		forwardParallel(b, func() *Forwarder { return f })
+		conn := listenLoopback(b)
+		forwardParallel(b, f, func() *net.UDPConn { return conn })
 	})
 	b.Run("own-sockets", func(b *testing.B) {
-		forwardParallel(b, func() *Forwarder { return newTestForwarder(b, 7) })
+		forwardParallel(b, f, func() *net.UDPConn { return listenLoopback(b) })
 	})
 }
 
-func forwardParallel(b *testing.B, forwarder func() *Forwarder) {
+func forwardParallel(b *testing.B, f *Forwarder, socket func() *net.UDPConn) {
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
-		f := forwarder()
+		conn := socket()
 		buf := make([]byte, wire.MaxDatagram)
 		for i := 0; pb.Next(); i++ {
-			f.forward(buf, testPayload, testFlow(i&0xffff))
+			f.forward(conn, buf, testPayload, testFlow(i&0xffff))
 		}
 	})
 }
--- a/internal/balancer/forwarder_test.go
+++ b/internal/balancer/forwarder_test.go
@@ -12,10 +12,10 @@
 // TestForwardAllocatesNothing covers the whole packet path after the receive
 // call: the choice of the home, the header and the send call.
 func TestForwardAllocatesNothing(t *testing.T) {
-	f := newTestForwarder(t, 7)
+	f, conn := newTestForwarder(t, 7), listenLoopback(t)
 	buf := make([]byte, wire.MaxDatagram)
 	flow := testFlow(1)
-	if allocs := testing.AllocsPerRun(1000, func() { f.forward(buf, testPayload, flow) }); allocs != 0 {
+	if allocs := testing.AllocsPerRun(1000, func() { f.forward(conn, buf, testPayload, flow) }); allocs != 0 {
 		t.Errorf("%v allocations a datagram, want 0", allocs)
 	}
 	if sent, failed := f.Counters.Forwarded.Load(), f.Counters.SendFailed.Load(); sent == 0 || failed != 0 {
@@ -49,7 +49,7 @@
 // of a loopback socket that nobody reads.
 func newTestForwarder(t testing.TB, candidates int) *Forwarder {
 	t.Helper()
-	f := NewForwarder(wire.NewKeys([][]byte{[]byte("secret")}), listenLoopback(t), netip.Addr{})
+	f := NewForwarder(wire.NewKeys([][]byte{[]byte("secret")}), netip.Addr{})
 	sink := listenLoopback(t).LocalAddr().(*net.UDPAddr).AddrPort()
 	views := testViews(candidates, sink)
 	f.views.Store(&views)
--- a/internal/balancer/process.go
+++ b/internal/balancer/process.go
@@ -53,7 +53,7 @@
 		settings:  s,
 		base:      base,
 		logger:    base.Logs.Part(Part),
-		forwarder: NewForwarder(base.Keys, base.Data, s.Bind),
+		forwarder: NewForwarder(base.Keys, s.Bind),
 		config:    config,
 		ctx:       ctx,
 		cancel:    cancel,
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -228,3 +228,61 @@
 		t.Errorf("got %v", effects)
 	}
 }
+
+// TestProberInAnOutDomainIsPostponed covers an agent that still holds the failure
+// domain of a prober out.
+func TestProberInAnOutDomainIsPostponed(t *testing.T) {
+	h := newHome(t)
+	prober := h.peer[0]
+	prober.Domain = "b"
+	prober.Revision++
+	board := h.node.Board()
+	board.Members.Put(prober)
+	key := model.ObjectKey{Kind: model.KindDomainState, Name: "b"}
+	board.Config.Current.Objects[key] = model.Object{Key: key, Version: 2, DomainState: &model.DomainState{Name: "b", Out: true}}
+	board.Config.Generation++
+	reply := sent(h.message(prober, &placementpb.Placement{Body: &placementpb.Placement_Probe{
+		Probe: &placementpb.Probe{Flow: callerOf(h.homeFlow())},
+	}}))[prober.Data].GetProbeReply()
+	if !reply.GetLater() {
+		t.Errorf("got %v, want a reply that postpones the prober", reply)
+	}
+}
+
+// TestPostponedProberPlacesNothing repeats what a scenario found: a home whose
+// failure domain had just come back took the silence of agents that had not heard
+// of it for 'not held', and two agents got one half each of a caller's handshake.
+func TestPostponedProberPlacesNothing(t *testing.T) {
+	h := newHome(t)
+	// A change of candidates unsettles the home.
+	joined := member("agent-3", 3)
+	h.node.Board().Members.Put(joined)
+	h.pass(time.Second)
+	flow := h.homeFlow()
+	h.packet(flow, initialPacket)
+	for _, p := range []model.Member{h.peer[1], joined} {
+		h.message(p, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{
+			ProbeReply: &placementpb.ProbeReply{Flow: callerOf(flow)},
+		}})
+	}
+	for range 20 {
+		for to, m := range sent(h.pass(100 * time.Millisecond)) {
+			if m.GetOffer() != nil {
+				t.Fatalf("the flow was offered to %v before agent-1 agreed", to)
+			}
+		}
+		h.message(h.peer[0], &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{
+			ProbeReply: &placementpb.ProbeReply{Flow: callerOf(flow), Later: true},
+		}})
+	}
+	effects := h.message(h.peer[0], &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{
+		ProbeReply: &placementpb.ProbeReply{Flow: callerOf(flow)},
+	}})
+	offered := false
+	for _, m := range sent(effects) {
+		offered = offered || m.GetOffer() != nil
+	}
+	if !offered {
+		t.Error("the flow was not offered once all candidates agreed")
+	}
+}
--- a/internal/core/directory/messages.go
+++ b/internal/core/directory/messages.go
@@ -43,6 +43,10 @@
 		return
 	}
 	from, ok := c.sender(t, &m, ev.From)
+	if probe := m.GetProbe(); !ok && probe != nil {
+		c.postpone(t, ev, probe)
+		return
+	}
 	if !ok {
 		t.Emit(core.Count{Name: "placement_unknown_sender", Delta: 1})
 		return
@@ -234,6 +238,16 @@
 	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{ProbeReply: reply}})
 }
 
+// postpone answers a prober that is no member here, or whose failure domain is
+// out here: one of the two lags behind. Silence would let the prober place a flow
+// that this agent may be placing as well.
+func (c *Controller) postpone(t *core.Turn, ev core.DatagramReceived, probe *placementpb.Probe) {
+	flow := model.FlowKey{Service: ev.Header.Service}
+	c.send(t, ev.From, flow, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{
+		ProbeReply: &placementpb.ProbeReply{Flow: probe.Flow, Later: true},
+	}})
+}
+
 func (c *Controller) answerProbe(t *core.Turn, from model.Member, flow model.FlowKey) *placementpb.ProbeReply {
 	self := t.Board.Self.Member.Node
 	if c.held[flow] != nil {
@@ -272,6 +286,8 @@
 	}
 	holder := model.NodeID(m.Holder)
 	switch {
+	case m.Later:
+		e.attempts = 0 // the candidate is not silent; it is asked until it agrees
 	case holder == "" || holder == t.Board.Self.Member.Node:
 		if _, ok := e.awaiting[from.Node]; ok {
 			e.answered++
--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -68,6 +68,7 @@
 		&cli.IntFlag{Name: "max-requests", Usage: "bound on the number of requests", Value: 100_000, Destination: &cfg.MaxRequests},
 		&cli.DurationFlag{Name: "timeout", Usage: "bound on one request, and on opening a flow", Value: 5 * time.Second, Destination: &cfg.Timeout},
 		&cli.DurationFlag{Name: "late-after", Usage: "time after which an answer is late", Value: time.Second, Destination: &cfg.LateAfter},
+		&cli.BoolFlag{Name: "strict-source", Usage: "drop answers from any address but the service's", Destination: &cfg.StrictSource},
 		&cli.BoolFlag{Name: "strict-moves", Usage: "break flows also on moves that the agent declared", Destination: &cfg.StrictMoves},
 		&cli.BoolFlag{Name: "allow-go-away", Usage: "flows that end by GOAWAY are not broken", Destination: &cfg.AllowGoAway},
 		&cli.DurationFlag{Name: "keep-alive", Usage: "period of QUIC keep-alives", Value: 5 * time.Second, Destination: &cfg.KeepAlive},
--- a/standin/caller/config.go
+++ b/standin/caller/config.go
@@ -50,6 +50,9 @@
 	Timeout time.Duration
 	// LateAfter is the time after which an answer counts as late.
 	LateAfter time.Duration
+	// StrictSource drops answers that do not come from the service's address,
+	// as a connected socket does.
+	StrictSource bool
 	// StrictMoves breaks a flow whose target changes also when the agent has
 	// declared that it handed the request over.
 	StrictMoves bool
--- a/standin/caller/fabric.go
+++ b/standin/caller/fabric.go
@@ -24,6 +24,7 @@
 	service   netip.AddrPort
 	local     netip.Addr
 	seed      uint64
+	strict    bool // drops answers from any address but the service's
 	balancers atomic.Pointer[[]netip.AddrPort]
 	// cut drops all datagrams in both directions.
 	cut atomic.Bool
@@ -33,7 +34,7 @@
 }
 
 func newFabric(cfg *Config) *fabric {
-	f := &fabric{service: cfg.Address, local: cfg.Local, seed: cfg.Seed, sent: make(map[netip.AddrPort]uint64)}
+	f := &fabric{service: cfg.Address, local: cfg.Local, seed: cfg.Seed, strict: cfg.StrictSource, sent: make(map[netip.AddrPort]uint64)}
 	f.setBalancers(cfg.Balancers)
 	return f
 }
@@ -110,11 +111,13 @@
 	return len(p), nil
 }
 
-// ReadFrom receives a datagram from any address and reports the service's.
+// ReadFrom receives a datagram and reports the service's address. Unless the
+// fabric is strict, the datagram may come from any address.
 func (c *fabricConn) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
-		n, _, err := c.socket.ReadFromUDPAddrPort(p)
-		if err == nil && c.fabric.cut.Load() {
+		n, from, err := c.socket.ReadFromUDPAddrPort(p)
+		foreign := c.fabric.strict && from != c.fabric.service
+		if err == nil && (foreign || c.fabric.cut.Load()) {
 			continue
 		}
 		return n, c.service, err
--- a/standin/capacity/memory.go
+++ b/standin/capacity/memory.go
@@ -1,8 +1,6 @@
 package capacity
 
 import (
-	"fmt"
-	"net"
 	"net/netip"
 	"runtime"
 
@@ -110,27 +108,14 @@
 // balancerSockets returns the memory of the sockets of the services.
 func balancerSockets(p Plan, services int) (float64, error) {
 	views := balancerNode(p, services, services).Board().Routes.Views
-	f, done, err := newForwarder()
-	if err != nil {
-		return 0, err
-	}
-	defer done()
+	f := newForwarder()
+	defer f.Close()
 	return growth(func() (any, error) { return f, f.SetViews(views) })
 }
 
-// newForwarder returns a balancer's packet path on loopback, and a function
-// that closes it.
-func newForwarder() (*balancer.Forwarder, func(), error) {
-	data, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return nil, nil, fmt.Errorf("open the data socket: %w", err)
-	}
-	f := balancer.NewForwarder(wire.NewKeys([][]byte{[]byte("secret")}), data, netip.Addr{})
-	done := func() {
-		f.Close()
-		_ = data.Close()
-	}
-	return f, done, nil
+// newForwarder returns a balancer's packet path without services.
+func newForwarder() *balancer.Forwarder {
+	return balancer.NewForwarder(wire.NewKeys([][]byte{[]byte("secret")}), netip.Addr{})
 }
 
 func agentFlows(p Plan, flows int, fill func(*agentNode, int) error) (float64, error) {
--- a/standin/capacity/timing.go
+++ b/standin/capacity/timing.go
@@ -138,14 +138,12 @@
 // timeSetViews passes views to a packet path whose sockets are open.
 func timeSetViews(p Plan, t *Timing) error {
 	views := balancerNode(p, p.Targets, p.Services).Board().Routes.Views
-	f, done, err := newForwarder()
+	f := newForwarder()
+	defer f.Close()
+	err := f.SetViews(views)
 	if err != nil {
 		return err
 	}
-	defer done()
-	if err := f.SetViews(views); err != nil {
-		return err
-	}
 	t.SetViews = timed(someIterations, func(int) { err = errors.Join(err, f.SetViews(views)) })
 	return err
 }
--- a/standin/demo/demo.sh
+++ b/standin/demo/demo.sh
@@ -138,7 +138,7 @@
 echo 127.0.1.1:14433,127.0.1.2:14433 >"$dir/balancers"
 say "calling for 10 s over 20 long sessions and 20 short ones a second"
 run caller "$bin/standin" caller --service lease-desk --address 127.0.1.100:14433 \
-	--balancers-file "$dir/balancers" --ca "$dir/cert.pem" \
+	--balancers-file "$dir/balancers" --ca "$dir/cert.pem" --strict-source \
 	--ledger "$dir/caller.ledger" --sessions 20 --short-rate 20 --duration 10s
 sleep 3
 say "killing balancer-1, starting balancer-3"
