Spare the registrations that the home does not need

Cause: at the planned size an agent's placement traffic took 10.7 of 7 KB/s (docs/CAPACITY.md). Each flow cost an offer, a registration, a second one after the handshake, and their replies. Now the home also sees from the datagrams it passes on that the handshake is complete, and the second registration is spared in mode request.

--- a/internal/core/directory/controller.go
+++ b/internal/core/directory/controller.go
@@ -31,6 +31,7 @@
 
 	routeGeneration uint64
 	sweepAt         time.Time
+	registerAt      time.Time
 	batch           uint64
 	batches         map[uint64][]model.FlowKey
 	probeTokens     int
@@ -59,7 +60,7 @@
 	case core.DatagramReceived:
 		c.datagram(t, ev)
 	case core.FlowEstablished:
-		c.established(ev.Flow)
+		c.established(t, ev.Flow)
 	case core.FlowClosed:
 		c.closed(t, ev.Flow)
 	case core.Tick:
@@ -142,6 +143,9 @@
 		if e.phase == phaseYielded {
 			kind = wire.KindPacket
 		}
+		if v := c.view(t); v != nil && !opensFlow(v.Mode, ev.Payload) {
+			e.established = true
+		}
 		c.forward(t, data, kind, flow, ev.Header.Hops, ev.Payload)
 	default:
 		c.keep(t, e, ev.Payload)
--- a/internal/core/directory/holding.go
+++ b/internal/core/directory/holding.go
@@ -25,7 +25,7 @@
 	c.held[flow].lastSeen = t.Now
 	t.Emit(core.Deliver{Flow: flow, Payload: payload})
 	if v := c.view(t); v != nil && v.Mode == model.ModeFlow {
-		c.established(flow)
+		c.established(t, flow)
 	}
 }
 
@@ -35,10 +35,15 @@
 	}
 }
 
-// established notes that the flow's caller has completed its handshake.
-func (c *Controller) established(flow model.FlowKey) {
-	if f, ok := c.held[flow]; ok && !f.established {
-		f.established = true
+// established notes that the flow's caller has completed its handshake. In mode
+// request the home sees that by itself, from the kind of datagrams it passes on.
+func (c *Controller) established(t *core.Turn, flow model.FlowKey) {
+	f, ok := c.held[flow]
+	if !ok || f.established {
+		return
+	}
+	f.established = true
+	if v := c.view(t); v != nil && v.Mode == model.ModeFlow {
 		f.confirmed = false
 	}
 }
@@ -124,7 +129,10 @@
 	for _, flow := range sortedFlows(c.placing) {
 		c.retry(t, flow, c.placing[flow])
 	}
-	c.register(t)
+	if !t.Now.Before(c.registerAt) {
+		c.registerAt = t.Now.Add(registerInterval)
+		c.register(t)
+	}
 	if t.Now.Before(c.sweepAt) {
 		return
 	}
--- a/internal/core/directory/messages.go
+++ b/internal/core/directory/messages.go
@@ -112,12 +112,28 @@
 		accepted = true
 		c.remove(flow)
 		c.hold(t, flow)
+		c.confirmByReply(t, flow, from)
 	}
 	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_OfferReply{
 		OfferReply: &placementpb.OfferReply{Flow: m.Flow, Epoch: m.Epoch, Accepted: accepted},
 	}})
 }
 
+// confirmByReply spares the first registration of an offered flow: the reply
+// tells its home, which repeats the offer until a reply arrives.
+func (c *Controller) confirmByReply(t *core.Turn, flow model.FlowKey, home model.Member) {
+	f, v := c.held[flow], c.view(t)
+	if v == nil {
+		return
+	}
+	if best := routing.Home(v, flow.Hash()); best == nil || best.Member.Node != home.Node {
+		return
+	}
+	f.home, f.homeIncarnation = home.Node, home.Incarnation
+	f.confirmed = true
+	f.sent = t.Now
+}
+
 // offerReply ends an offer, or moves on to the next candidate. The first
 // acceptance that arrives wins, even if the home has moved on from its offer.
 func (c *Controller) offerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.OfferReply) {
--- a/internal/core/directory/options.go
+++ b/internal/core/directory/options.go
@@ -62,6 +62,9 @@
 	// strangerTimeout is how long an agent whose record has not arrived is
 	// dealt with after its last message.
 	strangerTimeout = 10 * time.Second
+	// registerInterval is how long registrations wait for others to the same
+	// home. A home that is asked meanwhile probes, or knows from the offer.
+	registerInterval = 250 * time.Millisecond
 	// registerRetry is the interval between unconfirmed registrations.
 	registerRetry = 500 * time.Millisecond
 	// registerBatch bounds the flows in one registration, so that it fits a
