Prove each control mechanism by a test that fails without it

Cause: with a mechanism switched off on a scratch copy, six faults passed all tests (older objects in a mixed delta, pause detection, lease counted from the acknowledgement, acknowledging gone members, correcting older records, dialing unheard nodes). Each has a test now. Choosing the watched nodes anew for every changed record cost 2.6 ms at 6,110 members.

Each test failing first, with the mechanism off: - merge takes older objects: TestOlderObjectsAndVersionsChangeNothing - Since is not checked: TestDeltaBeyondWhatIsHeldKeepsObjectsAndPulls - parts may be missing: TestPartsCompleteTheVersionOnlyTogether - no refutation: TestClaimsAreRefuted, TestSuspicionOfOneWatcherIsRefuted, TestPausedAgentHasNoLeaseUntilAcknowledgedAgain - no suspicion tolerance: TestSuspicionOfOneWatcherIsRefuted (18 refutations) - no pause detection: TestPausedWatcherGivesOthersTimeToBeHeard - lease from the acknowledgement: TestLeaseRunsFromTheTimeTheHeartbeatWasSent, TestPausedAgentHasNoLeaseUntilAcknowledgedAgain - gone members acknowledged: TestHeartbeatOfAGoneMemberIsNotAcknowledged - removals not held when cut off: TestCutOffBalancerRemovesNobody - removals not limited: TestRemovalsOfOneWatcherAreRateLimited (40 in 1 s) - older records not corrected: TestSenderOfAnOlderRecordIsCorrected - first word of gone members kept: TestFirstWordOfAGoneMemberIsIgnored - unheard nodes not dialed: TestWatcherDialsANodeThatDoesNotKnowIt - no digests: TestDeploymentConverges, TestLostDeltasAreRepaired - no healing dials: TestPartitionHeals - agents not pulled from: TestReplacedBalancersLearnFromAgentsWhileTheStoreIsDown - no store backoff: TestStoreReadsBackOffAndAgentsNeverRead (11,980 reads) - balancers read at once: TestAllBalancersStartingTogetherSpareTheStore - proof without direction or unchecked: TestProofCannotBeReflected, TestForeignPeersAreRefused - message size unbounded: TestInvalidInputClosesThePeer - Send waits for a slow peer: TestSlowPeerIsDropped - sessions ignore incarnations: TestNewerIncarnationReplacesSession - sessions ignore the dialer: TestSimultaneousOpenLeavesOneSession

Ruled out: recomputing the balancer list for every change to an agent.

Conclusion: the mechanisms hold against the faults that they are for.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -25,8 +25,8 @@
 	// Secrets are the cluster's shared secrets. The first signs; all are
 	// accepted. A hub without a secret opens no session.
 	Secrets [][]byte
-	// Service returns the service that an agent subscribes to, empty for a
-	// balancer. It is called from any goroutine.
+	// Service returns an agent's subscription, as in core.SelfSection, and is
+	// empty for a balancer. It is called from any goroutine.
 	Service func() model.ServiceName
 	// Logger receives the hub's log.
 	Logger log.Logger
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -167,21 +167,34 @@
 
 func TestProofCannotBeReflected(t *testing.T) {
 	a := startNode(t, nodeOptions{id: "a"})
-	conn := dialRaw(t, a.addr)
-	// The reflecting peer has no secret: it copies what the node sends.
-	hello := rawHello(t, "mirror")
-	if err := writeDelimited(conn, hello); err != nil {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a.Dial(ln.Addr().(*net.TCPAddr).AddrPort())
+	conn, err := ln.Accept()
+	if err != nil {
 		t.Fatal(err)
 	}
+	defer conn.Close()
+	// The mirror knows no secret: it answers with the node's own proof.
 	if _, err := readDelimited(conn); err != nil {
 		t.Fatal(err)
 	}
-	mac := proofMAC([]byte("guess"), fromDialer, hello, hello)
-	if err := writeDelimited(conn, mustMarshal(t, &controlpb.Proof{Mac: mac})); err != nil {
+	if err := writeDelimited(conn, rawHello(t, "mirror")); err != nil {
+		t.Fatal(err)
+	}
+	proof, err := readDelimited(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeDelimited(conn, proof); err != nil {
 		t.Fatal(err)
 	}
-	if raw, err := readDelimited(conn); err == nil {
-		t.Fatalf("node answered a wrong proof with %x", raw)
+	await[core.DialFailed](t, a)
+	if got := a.Counters().RejectedProof; got != 1 {
+		t.Fatalf("counted %d rejected proofs, want 1", got)
 	}
 }
 
--- a/internal/core/board.go
+++ b/internal/core/board.go
@@ -79,6 +79,8 @@
 	Records map[model.NodeID]model.Member
 	// Generation rises with every change to Records.
 	Generation uint64
+	// BalancerGeneration rises with every change to a balancer's record.
+	BalancerGeneration uint64
 	// Summary hashes Records for anti-entropy.
 	Summary MemberSummary
 	// Changes lists the records changed in the current step, for controllers
--- a/internal/core/configuration/controller_test.go
+++ b/internal/core/configuration/controller_test.go
@@ -46,7 +46,11 @@
 	receive(n, core.Delta{ConfigVersion: 4, Objects: []model.Object{domain("a", 4)}})
 	n.Step(start, core.StoreLoaded{Version: 5, Objects: []model.Object{domain("a", 5)}})
 	key := model.ObjectKey{Kind: model.KindDomain, Name: "a"}
-	if b.Config.Generation != generation || b.Config.Current.Version != 9 || b.Config.Current.Objects[key].Version != 9 {
+	if b.Config.Generation != generation {
+		t.Fatalf("older objects raised the generation by %d", b.Config.Generation-generation)
+	}
+	receive(n, core.Delta{ConfigVersion: 4, Objects: []model.Object{domain("a", 4), domain("b", 3)}})
+	if b.Config.Current.Version != 9 || len(b.Config.Current.Objects) != 2 || b.Config.Current.Objects[key].Version != 9 {
 		t.Fatalf("holds %+v", b.Config.Current)
 	}
 }
--- a/internal/core/configuration/store.go
+++ b/internal/core/configuration/store.go
@@ -22,7 +22,7 @@
 	failures int
 	// polled is set once the first poll was due.
 	polled bool
-	// generation is the member generation of the newest election.
+	// generation is the balancer generation of the newest election.
 	generation uint64
 	elected    bool
 	balancers  int
@@ -47,10 +47,10 @@
 
 // elect turns the watch on or off as the live balancers change.
 func (s *storeReader) elect(t *core.Turn) {
-	if s.balancers > 0 && s.generation == t.Board.Members.Generation {
+	if s.balancers > 0 && s.generation == t.Board.Members.BalancerGeneration {
 		return
 	}
-	s.generation = t.Board.Members.Generation
+	s.generation = t.Board.Members.BalancerGeneration
 	nodes := liveBalancers(t.Board)
 	s.balancers = len(nodes)
 	self := rendezvous.NewNode(t.Board.Self.Member.Node)
--- a/internal/core/dissemination/cluster_test.go
+++ b/internal/core/dissemination/cluster_test.go
@@ -197,7 +197,7 @@
 		}
 		for _, peer := range slices.Sorted(maps.Keys(n.sessions)) {
 			l := linkOf(id, peer)
-			if !c.cut(id, peer) {
+			if !c.cut(id, peer) && !n.paused && !c.nodes[peer].paused {
 				delete(c.cutSince, l)
 			} else if since, ok := c.cutSince[l]; !ok {
 				c.cutSince[l] = c.now
--- a/internal/core/dissemination/failure_test.go
+++ b/internal/core/dissemination/failure_test.go
@@ -1,6 +1,7 @@
 package dissemination_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +44,13 @@
 		t.Fatalf("crashed agent is %v", got)
 	}
 	c.resume(paused)
-	c.neverDead(agentID(0), agentID(1), agentID(2), balancerID(0), balancerID(1))
+	c.check = func() {
+		for _, id := range []model.NodeID{agentID(0), agentID(1), agentID(2), balancerID(0), balancerID(1)} {
+			if got := c.state(paused, id); got >= model.StateSuspect {
+				t.Fatalf("resumed balancer takes %s for %v", id, got)
+			}
+		}
+	}
 	c.await(5*time.Second, "the change is in force on the resumed balancer", c.inForce(version))
 	c.await(10*time.Second, "all nodes agree", c.agree)
 	if got := c.state(balancerID(0), paused); got != model.StateAlive {
@@ -129,6 +136,7 @@
 		id := agentID(0)
 		agent := c.nodes[id]
 		incarnation := agent.self.Incarnation
+		c.await(2*time.Second, "an acknowledgement is on its way", func() bool { return c.acknowledging(id) })
 		c.pause(id)
 		c.check = func() {
 			removed := c.state(balancerID(0), id) == model.StateDead
@@ -159,6 +167,18 @@
 	}
 }
 
+// acknowledging reports whether an acknowledgement to the node is queued.
+func (c *cluster) acknowledging(id model.NodeID) bool {
+	return slices.ContainsFunc(c.queue, func(d delivery) bool {
+		received, ok := d.ev.(core.MessageReceived)
+		if !ok || d.to != id {
+			return false
+		}
+		_, ok = received.Message.(core.HeartbeatAck)
+		return ok
+	})
+}
+
 func TestSuspicionOfOneWatcherIsRefuted(t *testing.T) {
 	c := deployment(t, 9)
 	id := agentID(0)
@@ -231,6 +251,61 @@
 	}
 }
 
+func TestRemovalsOfOneWatcherAreRateLimited(t *testing.T) {
+	const agents = 40
+	c := newCluster(t, 17)
+	c.start(model.RoleBalancer, balancerID(0), domainOf(0))
+	for i := range agents {
+		c.start(model.RoleAgent, agentID(i), domainOf(i))
+	}
+	c.await(10*time.Second, "all nodes agree", c.agree)
+	c.run(5 * time.Second)
+	for i := range agents {
+		c.crash(agentID(i))
+	}
+	removed := func() int {
+		records := notGone(c.nodes[balancerID(0)].Board(), core.Subscriber{Role: model.RoleBalancer})
+		return agents + 1 - len(records)
+	}
+	c.await(7*time.Second, "the first agent is removed", func() bool { return removed() > 0 })
+	c.run(time.Second)
+	if got := removed(); got < 8 || got > 14 {
+		t.Fatalf("%d agents removed within the first second, want a burst of 8 and 4 a second", got)
+	}
+	c.await(10*time.Second, "all agents are removed", func() bool { return removed() == agents })
+}
+
+func TestSenderOfAnOlderRecordIsCorrected(t *testing.T) {
+	n := benchNode()
+	newer := benchMember(agentID(0), model.RoleAgent, 2)
+	receive(n, core.Delta{Members: []model.Member{newer}})
+	n.Step(benchStart, core.Tick{})
+	receive(n, core.Delta{Members: []model.Member{benchMember(agentID(0), model.RoleAgent, 1)}})
+	for _, e := range n.Step(benchStart, core.Tick{}) {
+		m, ok := e.(core.SendMessage)
+		if !ok {
+			continue
+		}
+		if d, ok := m.Message.(core.Delta); ok && slices.Contains(d.Members, newer) {
+			return
+		}
+	}
+	t.Fatal("the newer record was not sent")
+}
+
+func TestWatcherDialsANodeThatDoesNotKnowIt(t *testing.T) {
+	n := benchNode()
+	receive(n, core.Delta{Members: []model.Member{benchMember(agentID(0), model.RoleAgent, 0)}})
+	for now := benchStart; now.Before(benchStart.Add(5 * time.Second)); now = now.Add(core.TickInterval) {
+		for _, e := range n.Step(now, core.Tick{}) {
+			if e == (core.Dial{Addr: address(agentID(0))}) {
+				return
+			}
+		}
+	}
+	t.Fatal("the agent was not dialed")
+}
+
 func TestPartitionHeals(t *testing.T) {
 	c := deployment(t, 12)
 	half := func(id model.NodeID) bool { return c.nodes[id] != nil && c.nodes[id].self.Domain < domainOf(2) }
--- a/internal/core/dissemination/sessions.go
+++ b/internal/core/dissemination/sessions.go
@@ -20,7 +20,7 @@
 	dialer   dialer
 	next     time.Time
 	nextHeal time.Time
-	// generation is the member generation of balancers and wanted.
+	// generation is the balancer generation of balancers and wanted.
 	generation uint64
 	balancers  topology.Balancers
 	wanted     []model.NodeID
@@ -34,8 +34,8 @@
 	}
 	s.next = t.Now.Add(sessionInterval)
 	self := &t.Board.Self.Member
-	if s.generation != t.Board.Members.Generation {
-		s.generation = t.Board.Members.Generation
+	if s.generation != t.Board.Members.BalancerGeneration {
+		s.generation = t.Board.Members.BalancerGeneration
 		s.balancers = topology.NewBalancers(&t.Board.Members)
 		s.wanted = s.balancers.Peers(self.Node, self.Role)
 	}
--- a/internal/core/membership/controller.go
+++ b/internal/core/membership/controller.go
@@ -21,7 +21,7 @@
 	subscription model.ServiceName
 	lastEvent    time.Time
 	nextForget   time.Time
-	// generation is the member generation of balancers.
+	// generation is the balancer generation of balancers.
 	generation uint64
 	balancers  topology.Balancers
 }
@@ -81,12 +81,7 @@
 }
 
 func (c *Controller) tick(t *core.Turn) {
-	if c.generation != t.Board.Members.Generation {
-		c.generation = t.Board.Members.Generation
-		c.balancers = topology.NewBalancers(&t.Board.Members)
-		c.heartbeat.watchers = c.balancers.Watchers(t.Board.Self.Member.Node)
-		c.watch.choose(t, c.balancers)
-	}
+	c.chooseWatched(t)
 	c.heartbeat.tick(t)
 	c.watch.tick(t, &c.records)
 	if t.Now.After(c.nextForget) {
@@ -95,6 +90,20 @@
 	}
 }
 
+// chooseWatched follows the records: a change to a balancer may move any
+// node's watchers, a change to an agent only its own.
+func (c *Controller) chooseWatched(t *core.Turn) {
+	if c.generation == t.Board.Members.BalancerGeneration {
+		c.watch.choose(t, c.balancers, c.records.touched)
+	} else {
+		c.generation = t.Board.Members.BalancerGeneration
+		c.balancers = topology.NewBalancers(&t.Board.Members)
+		c.heartbeat.watchers = c.balancers.Watchers(t.Board.Self.Member.Node)
+		c.watch.chooseAll(t, c.balancers)
+	}
+	c.records.touched = c.records.touched[:0]
+}
+
 // detectPause restarts all time-outs after a gap in which the node did not
 // run: silence of others in that time proves nothing. After a gap in which
 // others may have forgotten what is gone, the records are worthless too.
--- /dev/null
+++ b/internal/core/membership/controller_test.go
@@ -0,0 +1,149 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+	"amaranthwheel.example/amaranthwheel/internal/core/membership"
+	"amaranthwheel.example/amaranthwheel/internal/model"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newNode(id model.NodeID, role model.Role) (*core.Node, *core.Board) {
+	b := core.NewBoard(model.Member{Node: id, Role: role, Incarnation: 1, State: model.StateAlive})
+	n := core.NewNode(b, 1, membership.New(membership.Options{}))
+	n.Step(start, core.Tick{})
+	return n, b
+}
+
+func agent(state model.MemberState, revision uint64) model.Member {
+	return model.Member{Node: "agent", Role: model.RoleAgent, Incarnation: 5, Revision: revision, State: state}
+}
+
+func learn(n *core.Node, members ...model.Member) {
+	n.Step(start, core.MessageReceived{From: "peer", Message: core.Delta{Members: members}})
+}
+
+// sent returns the messages among the effects.
+func sent(effects []core.Effect) []core.Message {
+	var out []core.Message
+	for _, e := range effects {
+		if m, ok := e.(core.SendMessage); ok {
+			out = append(out, m.Message)
+		}
+	}
+	return out
+}
+
+func TestHeartbeatOfAGoneMemberIsNotAcknowledged(t *testing.T) {
+	n, _ := newNode("balancer", model.RoleBalancer)
+	learn(n, agent(model.StateAlive, 1))
+	beat := core.MessageReceived{From: "agent", Message: core.Heartbeat{Sequence: 3}}
+	if got := sent(n.Step(start, beat)); len(got) != 1 || got[0] != (core.HeartbeatAck{Sequence: 3}) {
+		t.Fatalf("live agent is answered %+v", got)
+	}
+	learn(n, agent(model.StateDead, 1))
+	got := sent(n.Step(start, beat))
+	if len(got) != 1 {
+		t.Fatalf("dead agent is answered %+v", got)
+	}
+	if d, ok := got[0].(core.Delta); !ok || len(d.Members) != 1 || d.Members[0] != agent(model.StateDead, 1) {
+		t.Fatalf("dead agent is answered %+v", got[0])
+	}
+	learn(n, agent(model.StateAlive, 2))
+	if got := sent(n.Step(start, beat)); len(got) != 1 || got[0] != (core.HeartbeatAck{Sequence: 3}) {
+		t.Fatalf("returned agent is answered %+v", got)
+	}
+}
+
+func TestLeaseRunsFromTheTimeTheHeartbeatWasSent(t *testing.T) {
+	n, b := newNode("agent", model.RoleAgent)
+	ack := func(at time.Duration, sequence uint64) {
+		n.Step(start.Add(at), core.MessageReceived{From: "b", Message: core.HeartbeatAck{Sequence: sequence}})
+	}
+	ack(2900*time.Millisecond, 1)
+	if !b.Lease.Valid(start.Add(2999*time.Millisecond)) || b.Lease.Valid(start.Add(3*time.Second)) {
+		t.Fatalf("lease is valid until %v after the heartbeat", b.Lease.ValidUntil.Sub(start))
+	}
+	ack(2900*time.Millisecond, 2) // never sent
+	if got := b.Lease.ValidUntil.Sub(start); got != 3*time.Second {
+		t.Fatalf("acknowledgement of an unsent heartbeat extended the lease to %v", got)
+	}
+}
+
+func TestFirstWordOfAGoneMemberIsIgnored(t *testing.T) {
+	n, b := newNode("balancer", model.RoleBalancer)
+	learn(n, agent(model.StateDead, 1), model.Member{Node: "left", Role: model.RoleAgent, State: model.StateLeft})
+	if got := len(b.Members.Records); got != 1 {
+		t.Fatalf("%d records, want only the node's own", got)
+	}
+}
+
+func TestRecordsAreReplacedOnlyByWhatSupersedes(t *testing.T) {
+	n, b := newNode("balancer", model.RoleBalancer)
+	higher := agent(model.StateAlive, 0)
+	higher.Incarnation = 6
+	steps := []struct {
+		received, want model.Member
+	}{
+		{agent(model.StateAlive, 2), agent(model.StateAlive, 2)},
+		{agent(model.StateDead, 1), agent(model.StateAlive, 2)},
+		{agent(model.StateSuspect, 2), agent(model.StateSuspect, 2)},
+		{agent(model.StateAlive, 2), agent(model.StateSuspect, 2)},
+		{agent(model.StateDead, 2), agent(model.StateDead, 2)},
+		{agent(model.StateAlive, 3), agent(model.StateAlive, 3)},
+		{agent(model.StateLeft, 3), agent(model.StateLeft, 3)},
+		{higher, higher},
+		{agent(model.StateDead, 99), higher},
+	}
+	for i, step := range steps {
+		learn(n, step.received)
+		if got := b.Members.Records["agent"]; got != step.want {
+			t.Fatalf("step %d: holds %+v, want %+v", i, got, step.want)
+		}
+	}
+}
+
+func TestAgentDropsWhatAWatcherNoLongerLists(t *testing.T) {
+	n, b := newNode("agent-0", model.RoleAgent)
+	b.Self.Subscription = "drawings"
+	n.Step(start, core.Tick{})
+	moved := agent(model.StateAlive, 1)
+	moved.Service = "drawings"
+	learn(n, moved)
+	answer := core.MemberBuckets{Count: 1, Indexes: []uint32{0}}
+	for _, tt := range []struct {
+		at   time.Duration
+		want int
+	}{{time.Second, 2}, {10 * time.Second, 1}} {
+		n.Step(start.Add(tt.at), core.MessageReceived{From: "b", Message: answer})
+		if got := len(b.Members.Records); got != tt.want {
+			t.Fatalf("%v after the record came, %d records, want %d", tt.at, got, tt.want)
+		}
+	}
+}
+
+func TestPausedWatcherGivesOthersTimeToBeHeard(t *testing.T) {
+	n, b := newNode("balancer", model.RoleBalancer)
+	learn(n, agent(model.StateAlive, 1))
+	n.Step(start, core.Tick{})
+	n.Step(start, core.MessageReceived{From: "agent", Message: core.Heartbeat{Sequence: 1}})
+	state := func(at time.Duration) model.MemberState {
+		n.Step(start.Add(at), core.Tick{})
+		return b.Members.Records["agent"].State
+	}
+	const pause = 20 * time.Second
+	if got := state(pause); got != model.StateAlive {
+		t.Fatalf("at once after the pause the agent is %v", got)
+	}
+	for at := pause; at < pause+2900*time.Millisecond; at += core.TickInterval {
+		if got := state(at); got != model.StateAlive {
+			t.Fatalf("%v after the pause the agent is %v", at-pause, got)
+		}
+	}
+	if got := state(pause + 3*time.Second); got != model.StateSuspect {
+		t.Fatalf("3 s after the pause the silent agent is %v", got)
+	}
+}
--- a/internal/core/membership/records.go
+++ b/internal/core/membership/records.go
@@ -16,6 +16,18 @@
 type records struct {
 	// changed is when each record was last replaced on this node.
 	changed map[model.NodeID]time.Time
+	// touched lists the nodes whose record was replaced or dropped since the
+	// last tick.
+	touched []model.NodeID
+}
+
+// touch accounts for a change to a node's record.
+func (r *records) touch(t *core.Turn, node model.NodeID, role model.Role) {
+	t.Board.Members.Generation++
+	if role == model.RoleBalancer {
+		t.Board.Members.BalancerGeneration++
+	}
+	r.touched = append(r.touched, node)
 }
 
 func (r *records) beginStep(t *core.Turn) {
@@ -61,7 +73,7 @@
 		logState(t, m, from)
 	}
 	members.Records[m.Node] = *m
-	members.Generation++
+	r.touch(t, m.Node, m.Role)
 	members.Changes = append(members.Changes, core.MemberChange{Node: m.Node, From: from, Was: held.Service})
 	r.changed[m.Node] = t.Now
 }
@@ -79,7 +91,7 @@
 	members.Summary.Replace(&held, nil)
 	delete(members.Records, node)
 	delete(r.changed, node)
-	members.Generation++
+	r.touch(t, node, held.Role)
 }
 
 // forget drops the records of members that have been gone for long.
--- a/internal/core/membership/watch.go
+++ b/internal/core/membership/watch.go
@@ -49,28 +49,36 @@
 	}
 }
 
-// choose starts and ends watching as the members change.
-func (w *watch) choose(t *core.Turn, balancers topology.Balancers) {
-	if t.Board.Self.Member.Role != model.RoleBalancer {
+// chooseAll starts and ends watching after a change of balancers.
+func (w *watch) chooseAll(t *core.Turn, balancers topology.Balancers) {
+	known := slices.Collect(maps.Keys(t.Board.Members.Records))
+	w.choose(t, balancers, append(known, w.order...))
+}
+
+// choose starts or ends watching some nodes.
+func (w *watch) choose(t *core.Turn, balancers topology.Balancers, nodes []model.NodeID) {
+	if t.Board.Self.Member.Role != model.RoleBalancer || len(nodes) == 0 {
 		return
 	}
 	self := rendezvous.NewNode(t.Board.Self.Member.Node)
-	for node, m := range t.Board.Members.Records {
+	changed := false
+	for _, node := range nodes {
+		m, known := t.Board.Members.Records[node]
+		wanted := known && !m.Gone() && balancers.Watches(self, node)
 		_, watching := w.nodes[node]
-		wanted := !m.Gone() && balancers.Watches(self, node)
 		switch {
 		case wanted && !watching:
 			w.nodes[node] = w.start(m.Role, t.Now)
 		case !wanted && watching:
 			delete(w.nodes, node)
+		default:
+			continue
 		}
+		changed = true
 	}
-	for node := range w.nodes {
-		if _, known := t.Board.Members.Records[node]; !known {
-			delete(w.nodes, node)
-		}
+	if changed {
+		w.order = slices.Sorted(maps.Keys(w.nodes))
 	}
-	w.order = slices.Sorted(maps.Keys(w.nodes))
 }
 
 func (w *watch) start(role model.Role, now time.Time) *watched {
