Learn a target anew after its failure domain was out

Ruled out: a slower growth for everybody.

Before: TestDomainOutForgetsTheLimit red (limit as before the outage). Conclusion: coming back is a cold start.

--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -93,8 +93,8 @@
 	claimController := claims.New()
 	node := core.NewNode(core.NewBoard(self), self.Incarnation,
 		lifecycle.New(lifecycle.Options{DrainLimit: p.settings.StopTimeout}),
-		configuration.New(configuration.Options{}),
 		membership.New(membership.Options{}),
+		configuration.New(configuration.Options{}),
 		routing.New(),
 		claimController,
 		admission.New(),
--- a/internal/balancer/process.go
+++ b/internal/balancer/process.go
@@ -71,8 +71,8 @@
 	self := p.base.Member(model.RoleBalancer)
 	node := core.NewNode(core.NewBoard(self), self.Incarnation,
 		lifecycle.New(lifecycle.Options{BalancerDrain: p.settings.StopTimeout}),
-		configuration.New(configuration.Options{}),
 		membership.New(membership.Options{}),
+		configuration.New(configuration.Options{}),
 		routing.New(),
 		dissemination.New(dissemination.Options{Seeds: p.settings.Seeds}),
 		aliveness{p.forwarder},
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -323,3 +323,21 @@
 		}
 	}
 }
+
+// TestDomainOutForgetsTheLimit covers a target that turns cold while its failure
+// domain is out: the limit learnt before would let it fall over at the return.
+func TestDomainOutForgetsTheLimit(t *testing.T) {
+	b := newBench(1, 10)
+	target := &modelTarget{bears: 10, latency: 5 * time.Millisecond}
+	target.run(b, 30*time.Second)
+	if limit := b.board().Load.Limit; limit < 5 {
+		t.Fatalf("the limit is %d before the failure domain is out, want a warm target", limit)
+	}
+	b.board().Self.Out = true
+	b.step(core.Tick{})
+	b.board().Self.Out = false
+	b.step(core.Tick{})
+	if limit := b.board().Load.Limit; limit != coldLimit {
+		t.Errorf("the limit is %d after the failure domain came back, want %d", limit, coldLimit)
+	}
+}
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -34,6 +34,7 @@
 	inFlight  int
 	restUntil time.Time // the target could not be reached
 	rest      time.Duration
+	out       bool // the failure domain was out in the last step
 }
 
 // New returns a controller without a target.
@@ -64,6 +65,7 @@
 	case core.Tick:
 		c.tick(t)
 	}
+	c.followDomain(t)
 	c.applyServiceLimit(t)
 	c.decideWaiting(t)
 	c.publish(t)
@@ -79,6 +81,15 @@
 	}
 }
 
+// followDomain forgets what was learnt of the target once its failure domain is
+// out: it may have turned cold by the time that the domain comes back.
+func (c *Controller) followDomain(t *core.Turn) {
+	if t.Board.Self.Out && !c.out {
+		c.limiter.reset()
+	}
+	c.out = t.Board.Self.Out
+}
+
 // applyServiceLimit sets the hard limit: the target's slots, at most those
 // that the service allows.
 func (c *Controller) applyServiceLimit(t *core.Turn) {
