--- a/internal/balancer/process.go
+++ b/internal/balancer/process.go
@@ -53,7 +53,7 @@
 		settings:  s,
 		base:      base,
 		logger:    base.Logs.Part(Part),
-		forwarder: NewForwarder(base.Keys, base.Data, s.Bind),
+		forwarder: NewForwarder(base.Keys, s.Bind),
 		config:    config,
 		ctx:       ctx,
 		cancel:    cancel,
@@ -71,8 +71,8 @@
 	self := p.base.Member(model.RoleBalancer)
 	node := core.NewNode(core.NewBoard(self), self.Incarnation,
 		lifecycle.New(lifecycle.Options{BalancerDrain: p.settings.StopTimeout}),
-		configuration.New(configuration.Options{}),
 		membership.New(membership.Options{}),
+		configuration.New(configuration.Options{}),
 		routing.New(),
 		dissemination.New(dissemination.Options{Seeds: p.settings.Seeds}),
 		aliveness{p.forwarder},
@@ -157,6 +157,7 @@
 
 // status completes the admin API's status.
 func (p *Process) status(_ *core.Board, s *adminapi.Status) {
+	s.Cluster = p.settings.Cluster
 	s.Store = p.store.report()
 }
 
--- a/internal/core/directory/messages.go
+++ b/internal/core/directory/messages.go
@@ -43,6 +43,10 @@
 		return
 	}
 	from, ok := c.sender(t, &m, ev.From)
+	if probe := m.GetProbe(); !ok && probe != nil {
+		c.postpone(t, ev, probe)
+		return
+	}
 	if !ok {
 		t.Emit(core.Count{Name: "placement_unknown_sender", Delta: 1})
 		return
@@ -108,12 +112,28 @@
 		accepted = true
 		c.remove(flow)
 		c.hold(t, flow)
+		c.confirmByReply(t, flow, from)
 	}
 	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_OfferReply{
 		OfferReply: &placementpb.OfferReply{Flow: m.Flow, Epoch: m.Epoch, Accepted: accepted},
 	}})
 }
 
+// confirmByReply spares the first registration of an offered flow: the reply
+// tells its home, which repeats the offer until a reply arrives.
+func (c *Controller) confirmByReply(t *core.Turn, flow model.FlowKey, home model.Member) {
+	f, v := c.held[flow], c.view(t)
+	if v == nil {
+		return
+	}
+	if best := routing.Home(v, flow.Hash()); best == nil || best.Member.Node != home.Node {
+		return
+	}
+	f.home, f.homeIncarnation = home.Node, home.Incarnation
+	f.confirmed = true
+	f.sent = t.Now
+}
+
 // offerReply ends an offer, or moves on to the next candidate. The first
 // acceptance that arrives wins, even if the home has moved on from its offer.
 func (c *Controller) offerReply(t *core.Turn, from model.Member, service model.ServiceID, m *placementpb.OfferReply) {
@@ -234,6 +254,16 @@
 	c.send(t, from.Data, flow, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{ProbeReply: reply}})
 }
 
+// postpone answers a prober that is no member here, or whose failure domain is
+// out here: one of the two lags behind. Silence would let the prober place a flow
+// that this agent may be placing as well.
+func (c *Controller) postpone(t *core.Turn, ev core.DatagramReceived, probe *placementpb.Probe) {
+	flow := model.FlowKey{Service: ev.Header.Service}
+	c.send(t, ev.From, flow, &placementpb.Placement{Body: &placementpb.Placement_ProbeReply{
+		ProbeReply: &placementpb.ProbeReply{Flow: probe.Flow, Later: true},
+	}})
+}
+
 func (c *Controller) answerProbe(t *core.Turn, from model.Member, flow model.FlowKey) *placementpb.ProbeReply {
 	self := t.Board.Self.Member.Node
 	if c.held[flow] != nil {
@@ -272,6 +302,8 @@
 	}
 	holder := model.NodeID(m.Holder)
 	switch {
+	case m.Later:
+		e.attempts = 0 // the candidate is not silent; it is asked until it agrees
 	case holder == "" || holder == t.Board.Self.Member.Node:
 		if _, ok := e.awaiting[from.Node]; ok {
 			e.answered++
