--- a/internal/core/configuration/options.go
+++ b/internal/core/configuration/options.go
@@ -4,8 +4,9 @@
 
 // Options tunes the controller.
 type Options struct {
-	// Readers is the number of balancers that watch the store. Default 2: one
-	// may die unnoticed for some seconds. More cost a waiting watch each.
+	// Readers is the number of balancers that watch the store. Default 3: two
+	// may be dead or paused unnoticed for some seconds. More cost a waiting
+	// watch each, and reads during an outage.
 	Readers int
 	// StartDelay is how long a new balancer lets peers answer first, before
 	// it elects readers or reads the store. Default 1 s. Shorter starts sooner
@@ -32,7 +33,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Readers, 2)
+	setDefault(&o.Readers, 3)
 	setDefault(&o.StartDelay, time.Second)
 	setDefault(&o.PollInterval, 30*time.Second)
 	setDefault(&o.PollSpacing, 3*time.Second)
--- a/standin/capacity/protocol.go
+++ b/standin/capacity/protocol.go
@@ -45,7 +45,7 @@
 	return Protocol{
 		Watchers: topology.WatchersPerNode, PeerSessions: topology.WatchersPerNode + 1, HeartbeatsPerSecond: 1, DigestInterval: 5,
 		EventsPerRestart: 4, EventsPerLoss: 2, SendLimit: 64 << 10, SendBurst: 512 << 10,
-		StoreReaders: 2, StorePollSpacing: 3, WatchAge: 90, KeepAliveInterval: 10, TickInterval: core.TickInterval.Seconds(),
+		StoreReaders: 3, StorePollSpacing: 3, WatchAge: 90, KeepAliveInterval: 10, TickInterval: core.TickInterval.Seconds(),
 	}
 }
 
