--- a/internal/core/configuration/store.go
+++ b/internal/core/configuration/store.go
@@ -61,7 +61,7 @@
 	}
 	s.elected = elected
 	t.Board.Config.Reader = elected
-	t.Emit(core.WatchStore{On: elected})
+	t.Emit(core.WatchStore{On: elected, After: t.Board.Config.Current.Version})
 	if elected && s.failures == 0 {
 		s.next = t.Now
 	}
@@ -94,7 +94,7 @@
 func (s *storeReader) loaded(t *core.Turn) {
 	s.pending = time.Time{}
 	if s.failures > 0 && s.elected {
-		t.Emit(core.WatchStore{On: true})
+		t.Emit(core.WatchStore{On: true, After: t.Board.Config.Current.Version})
 	}
 	s.failures = 0
 	s.next = t.Now.Add(s.pollInterval(t))
