--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -110,11 +110,14 @@
 
 // TestKnownRed runs the scenarios that fail for a fault that is not mended yet.
 func TestKnownRed(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/red/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(scripts) == 0 {
+		return
+	}
 	if os.Getenv(knownRedEnv) == "" {
-		scripts, err := filepath.Glob("testdata/red/*.txtar")
-		if err != nil {
-			t.Fatal(err)
-		}
 		t.Skipf("known red, see KNOWN-RED.txt: %v", scripts)
 	}
 	binaries := t.TempDir()
