Fuzz placement messages; give fuzzing and process measures a target

Cause: make fuzz was named without a recipe, and make measure left the daemons out. Conclusion: one command each.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 MODULES := ./... ./operator/... ./standin/...
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 BIN := bin
+FUZZTIME := 10s
 
 .PHONY: all build test unit race lint format demo measure bench capacity fuzz proto
 
@@ -19,7 +20,7 @@
 	go test $(MODULES)
 
 race:
-	go test -race ./internal/core/... ./internal/wire/...
+	go test -race ./internal/core/... ./internal/wire/... ./internal/control/...
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
@@ -48,5 +49,19 @@
 demo: build
 	standin/demo/demo.sh $(BIN)
 
+# Compares ways to carry flows in virtual time, then measures the daemons.
 measure:
 	go run ./standin/cmd/measure
+	for seed in 1 2 3; do MEASURE_SEED=$$seed go test -count=1 -v -run TestMeasure ./standin/scenario || exit 1; done
+
+# Fuzzes everything that reads bytes from outside. CI runs the corpora only.
+fuzz:
+	cd operator && go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./declaration
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/settings
+	go test -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZTIME) ./internal/control
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/wire
+	go test -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/core/directory
+	go test -run '^$$' -fuzz FuzzTxnAnswer -fuzztime $(FUZZTIME) ./internal/store
+	go test -run '^$$' -fuzz FuzzWatchStream -fuzztime $(FUZZTIME) ./internal/store
+	go test -run '^$$' -fuzz FuzzSnapshot -fuzztime $(FUZZTIME) ./internal/configstore
+	go test -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME) ./internal/configstore
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -286,3 +286,29 @@
 		t.Error("the flow was not offered once all candidates agreed")
 	}
 }
+
+// FuzzMessage feeds placement messages to a home; none may panic.
+func FuzzMessage(f *testing.F) {
+	for _, m := range []*placementpb.Placement{
+		{Body: &placementpb.Placement_Offer{Offer: &placementpb.Offer{Epoch: 1}}},
+		{From: "agent-1", Incarnation: 1, Body: &placementpb.Placement_Register{Register: &placementpb.Register{
+			Flows: []*placementpb.Flow{{Caller: []byte{192, 0, 2, 1, 0, 80}}},
+		}}},
+		{From: "agent-1", Incarnation: 1, Body: &placementpb.Placement_Probe{Probe: &placementpb.Probe{}}},
+	} {
+		payload, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		h := newHome(t)
+		h.node.Step(h.now, core.DatagramReceived{
+			From:    h.peer[0].Data,
+			Header:  wire.Header{Kind: wire.KindPlacement, Service: service.ID()},
+			Payload: payload,
+		})
+		h.pass(time.Second)
+	})
+}
