Keep two rendezvous scores, and say why

Cause: the score stands twice, in routing and rendezvous. Tried: routing's score for both. Seen: TestChangesAreInForceOnALargeCluster red, a lost failure domain not removed within 19 s; the score is symmetric, so balancers pick each other in pairs and the graph of their sessions thins out. TestPeersCarryAnAcceptedChangeWhileTheStoreIsDown was red as well, for a reason of its own: it kept the watch of the first balancer only, and left none where that one was not elected. It now keeps the watch of exactly one reader, whichever that is; what it asks is unchanged. Conclusion: the two differ on purpose.

--- a/internal/core/dissemination/failure_test.go
+++ b/internal/core/dissemination/failure_test.go
@@ -76,12 +76,19 @@
 	}
 }
 
+// keepOneWatcher ends the watches of all readers but one.
+func (c *cluster) keepOneWatcher() {
+	kept := false
+	for _, n := range c.live() {
+		n.watching = n.watching && !kept
+		kept = kept || n.watching
+	}
+}
+
 func TestPeersCarryAnAcceptedChangeWhileTheStoreIsDown(t *testing.T) {
 	c := deployment(t, 5)
 	c.versionsNeverFall()
-	for _, n := range c.live()[1:] {
-		n.watching = n.watching && c.live()[0].watching == n.watching
-	}
+	c.keepOneWatcher()
 	version := c.accept(domainState(domainOf(2), true))
 	c.store.down = true
 	c.await(5*time.Second, "the change is in force", c.inForce(version))
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -24,7 +24,9 @@
 	return Node{id, xxhash.Sum64String(string(id))}
 }
 
-// score returns the weight of a node for a subject.
+// score returns the weight of a node for a subject. Unlike routing.Score it is
+// not symmetric: balancers that pick each other in pairs would leave the graph
+// of their sessions thin.
 func score(subject, node uint64) uint64 {
 	hi, lo := bits.Mul64(subject^0x9e3779b97f4a7c15, node^0xd1b54a32d192ed03)
 	x := hi ^ lo
--- a/internal/core/routing/rank.go
+++ b/internal/core/routing/rank.go
@@ -17,7 +17,8 @@
 
 // Score returns the rendezvous score of a seed for a hash: the finalizer of
 // MurmurHash3 over both. It depends on nothing but its arguments, so nodes
-// with different views agree on the order of any two candidates.
+// with different views agree on the order of any two candidates. It is symmetric;
+// see package rendezvous for picks among equals.
 func Score(seed, hash uint64) uint64 {
 	x := seed ^ hash
 	x ^= x >> 33
