Trust no capacity of a target that is not in use

Ruled out: the limit kept over a domain out (mended before, another path), and easing the scenario's overload factor. Now the limit falls to one above what was used within 2 s, as congestion window validation does (RFC 7661), and grows back on good answers.

Conclusion: what a target bears is what it has borne of late.

--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -341,3 +341,30 @@
 		t.Errorf("the limit is %d after the failure domain came back, want %d", limit, coldLimit)
 	}
 }
+
+// TestUnusedCapacityIsNotTrusted covers a target that turns cold while it is
+// lightly used: a burst must not find the limit that was learnt under load.
+func TestUnusedCapacityIsNotTrusted(t *testing.T) {
+	b := newBench(1, 10)
+	target := &modelTarget{bears: 10, latency: 5 * time.Millisecond}
+	target.run(b, 30*time.Second)
+	learnt := b.board().Load.Limit
+	for range 50 {
+		b.arrive(core.RequestArrived{Method: "GET", HandedOver: true, Deadline: b.now.Add(time.Minute)})
+		target.carryOut(b)
+		for range 100 {
+			b.now = b.now.Add(time.Millisecond)
+			target.finish(b)
+			target.carryOut(b)
+		}
+		b.step(core.Tick{})
+	}
+	if limit := b.board().Load.Limit; learnt < 5 || limit > 2 {
+		t.Errorf("the limit is %d after 5 s of one request at a time, %d under load before", limit, learnt)
+	}
+	// The load comes back: the limit is soon what it was.
+	target.run(b, 5*time.Second)
+	if limit := b.board().Load.Limit; limit < learnt || target.shed > 0 {
+		t.Errorf("the limit is %d after 5 s of load, want %d; %d shed", limit, learnt, target.shed)
+	}
+}
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -251,6 +251,8 @@
 		}
 	}
 	c.limiter.waiting(t.Now, slow)
+	c.limiter.use(c.inFlight)
+	c.limiter.trim(t.Now)
 	if c.inFlight == 0 {
 		c.limiter.expire(t.Now)
 	}
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -134,6 +134,7 @@
 func (c *Controller) grant(t *core.Turn, r *request) {
 	c.waiting.remove(r)
 	c.inFlight++
+	c.limiter.use(c.inFlight)
 	r.phase = phaseRunning
 	r.slot = true
 	r.full = c.inFlight >= c.limiter.limit
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -26,6 +26,9 @@
 	// minHold up to maxHold.
 	minHold = 500 * time.Millisecond
 	maxHold = 8 * time.Second
+	// unusedAfter is how long capacity beyond the use stands. A target may turn
+	// cold unnoticed while it is lightly used, and a burst would then find out.
+	unusedAfter = 2 * time.Second
 	// staleAfter is how long a limit stands without any answer.
 	staleAfter = 30 * time.Second
 )
@@ -43,6 +46,9 @@
 	hold      time.Duration // wait before the ceiling is exceeded
 	holdUntil time.Time
 	confirmed time.Time // last answer
+
+	peak      int       // most requests running at once since peakSince
+	peakSince time.Time // start of the window of peak
 }
 
 // setSlots sets the hard limit.
@@ -155,6 +161,22 @@
 	}
 }
 
+// use notes the requests that run now.
+func (l *limiter) use(running int) { l.peak = max(l.peak, running) }
+
+// trim lowers the limit to one above what was used of late, as congestion window
+// validation does (RFC 7661). Growth up to the ceiling takes only good answers.
+func (l *limiter) trim(now time.Time) {
+	if now.Sub(l.peakSince) < unusedAfter {
+		return
+	}
+	if used := max(l.peak+1, coldLimit); l.limit > used {
+		l.limit = used
+		l.successes = 0
+	}
+	l.peak, l.peakSince = 0, now
+}
+
 // expire halves a limit that no answer has confirmed for long: an idle target
 // may have turned cold.
 func (l *limiter) expire(now time.Time) {
