Prove mode flow end to end by a scenario

Cause: opaque flows were proved in virtual time and by hand only. Ruled out: a second demo; the deployment command gets a layout instead. Conclusion: both modes run on the same core, as processes.

--- a/standin/scenario/deployment.go
+++ b/standin/scenario/deployment.go
@@ -101,6 +101,9 @@
 		d.addresses[name] = d.network.host(serviceHost) + ":" + port
 		return fmt.Sprintf("address = %q", d.addresses[name])
 	})
+	if d.layout.opaque {
+		moved = strings.ReplaceAll(moved, `mode = "request"`, `mode = "flow"`)
+	}
 	return os.WriteFile(filepath.Join(b.work, declaredFile), []byte(moved), 0o644)
 }
 
@@ -158,6 +161,9 @@
 		"--announce", d.network.at(e.host, announcePort),
 		"--slots", fmt.Sprint(g.slots), "--connections", fmt.Sprint(g.connections),
 	}
+	if d.layout.opaque {
+		line = append(line, "--mode", "flow")
+	}
 	b.setAdmin(e.name, admin)
 	return b.launch(ts, e.name, standinProgram, append(append(line, d.targetArgs...), e.args...))
 }
--- a/standin/scenario/deploymentcmds.go
+++ b/standin/scenario/deploymentcmds.go
@@ -25,7 +25,7 @@
 // deploymentCommands returns the commands over a whole deployment.
 func deploymentCommands() map[string]command {
 	return map[string]command{
-		"deployment": {"authority|vatukoula|small [TARGET ARGS...]", 1, cmdDeployment},
+		"deployment": {"authority|vatukoula|small|opaque [TARGET ARGS...]", 1, cmdDeployment},
 		"balancer":   {"NUMBER [STORE IP:PORT]", 1, cmdBalancer},
 		"endpoint":   {"NAME [SERVICE DOMAIN [TARGET ARGS...]]", 1, cmdEndpoint},
 		"formed":     {"[LIMIT]", 0, cmdFormed},
--- a/standin/scenario/layout.go
+++ b/standin/scenario/layout.go
@@ -23,10 +23,13 @@
 	domains   []string
 	balancers int
 	groups    []group
+	// opaque makes all services carry opaque flows (mode flow).
+	opaque bool
 }
 
 // layouts are the deployments that scripts start by name. Those of the two
-// users have the sizes of the brief; "small" is a part of the Authority's.
+// users have the sizes of the brief; "small" is a part of the Authority's, and "opaque"
+// the same in mode flow.
 var layouts = map[string]layout{
 	"authority": {
 		program: "authority", cluster: "authority", balancers: 3,
@@ -43,6 +46,11 @@
 		domains: []string{"om-north-a", "om-north-b", "om-north-c"},
 		groups:  []group{{"lease-desk", 3, 10, 2000}, {"drawings", 1, 10, 2000}},
 	},
+	"opaque": {
+		program: "authority", cluster: "authority", balancers: 2, opaque: true,
+		domains: []string{"om-north-a", "om-north-b", "om-north-c"},
+		groups:  []group{{"lease-desk", 3, 10, 2000}, {"drawings", 1, 10, 2000}},
+	},
 }
 
 // findLayout returns the layout of a name.
