Share the default of options between three controllers

Cause: reading the whole change again, the same function stood in membership, configuration and dissemination. Ruled out: directory's own, which keeps negative options; sharing it would change what it does with them. Before and after: behaviour unchanged, the packages' tests green. Conclusion: one core.SetDefault.

--- a/internal/core/configuration/options.go
+++ b/internal/core/configuration/options.go
@@ -1,6 +1,10 @@
 package configuration
 
-import "time"
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+)
 
 // Options tunes the controller.
 type Options struct {
@@ -33,19 +37,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Readers, 3)
-	setDefault(&o.StartDelay, time.Second)
-	setDefault(&o.PollInterval, 30*time.Second)
-	setDefault(&o.PollSpacing, 3*time.Second)
-	setDefault(&o.IsolatedPollInterval, 5*time.Second)
-	setDefault(&o.LoadTimeout, 10*time.Second)
-	setDefault(&o.BackoffMin, 500*time.Millisecond)
-	setDefault(&o.BackoffMax, 30*time.Second)
+	core.SetDefault(&o.Readers, 3)
+	core.SetDefault(&o.StartDelay, time.Second)
+	core.SetDefault(&o.PollInterval, 30*time.Second)
+	core.SetDefault(&o.PollSpacing, 3*time.Second)
+	core.SetDefault(&o.IsolatedPollInterval, 5*time.Second)
+	core.SetDefault(&o.LoadTimeout, 10*time.Second)
+	core.SetDefault(&o.BackoffMin, 500*time.Millisecond)
+	core.SetDefault(&o.BackoffMax, 30*time.Second)
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/core/dissemination/options.go
+++ b/internal/core/dissemination/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
 )
 
 // Options tunes the controller.
@@ -43,21 +45,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DigestInterval, 5*time.Second)
-	setDefault(&o.PullTimeout, 2*time.Second)
-	setDefault(&o.HealInterval, 10*time.Second)
-	setDefault(&o.Linger, 30*time.Second)
-	setDefault(&o.RedialMin, 200*time.Millisecond)
-	setDefault(&o.RedialMax, 10*time.Second)
-	setDefault(&o.DialTimeout, 10*time.Second)
-	setDefault(&o.BytesPerSecond, 256<<10)
-	setDefault(&o.BurstBytes, 1<<20)
-	setDefault(&o.MessageBytes, 32<<10)
+	core.SetDefault(&o.DigestInterval, 5*time.Second)
+	core.SetDefault(&o.PullTimeout, 2*time.Second)
+	core.SetDefault(&o.HealInterval, 10*time.Second)
+	core.SetDefault(&o.Linger, 30*time.Second)
+	core.SetDefault(&o.RedialMin, 200*time.Millisecond)
+	core.SetDefault(&o.RedialMax, 10*time.Second)
+	core.SetDefault(&o.DialTimeout, 10*time.Second)
+	core.SetDefault(&o.BytesPerSecond, 256<<10)
+	core.SetDefault(&o.BurstBytes, 1<<20)
+	core.SetDefault(&o.MessageBytes, 32<<10)
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+)
 
 // Options tunes the controller.
 type Options struct {
@@ -50,23 +54,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, time.Second)
-	setDefault(&o.Lease, 3*time.Second)
-	setDefault(&o.SuspectAfter, 3*time.Second)
-	setDefault(&o.DeadAfter, 6*time.Second)
-	setDefault(&o.MaxSuspectAfter, time.Minute)
-	setDefault(&o.WatchGrace, 10*time.Second)
-	setDefault(&o.ProbeAfter, 3*time.Second)
-	setDefault(&o.RemovalBurst, 8)
-	setDefault(&o.RemovalRate, 4)
-	setDefault(&o.IsolationHold, 30*time.Second)
-	setDefault(&o.PauseAfter, time.Second)
-	setDefault(&o.ForgetAfter, 24*time.Hour)
+	core.SetDefault(&o.HeartbeatInterval, time.Second)
+	core.SetDefault(&o.Lease, 3*time.Second)
+	core.SetDefault(&o.SuspectAfter, 3*time.Second)
+	core.SetDefault(&o.DeadAfter, 6*time.Second)
+	core.SetDefault(&o.MaxSuspectAfter, time.Minute)
+	core.SetDefault(&o.WatchGrace, 10*time.Second)
+	core.SetDefault(&o.ProbeAfter, 3*time.Second)
+	core.SetDefault(&o.RemovalBurst, 8)
+	core.SetDefault(&o.RemovalRate, 4)
+	core.SetDefault(&o.IsolationHold, 30*time.Second)
+	core.SetDefault(&o.PauseAfter, time.Second)
+	core.SetDefault(&o.ForgetAfter, 24*time.Hour)
 	return o
 }
-
-func setDefault[T float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
