--- /dev/null
+++ b/internal/core/steering/agent.go
@@ -0,0 +1,253 @@
+package steering
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// AgentSelf is an agent's own identity.
+type AgentSelf struct {
+	Self
+	// Service is the service that the agent's host is meant for.
+	Service string
+	// Peer is the address for messages.
+	Peer netip.AddrPort
+	// Epoch is the start of the agent's process.
+	Epoch uint64
+	// HeartbeatInterval is how often the target sends heartbeats.
+	HeartbeatInterval time.Duration
+}
+
+// AgentCounters counts decisions since the start.
+type AgentCounters struct {
+	Admitted, RefusedOpen, Delivered, Answered, Missed, Returned, Tried, Queries atomic.Uint64
+	HeartbeatsIgnored                                                            atomic.Uint64
+}
+
+// Agent decides which segments reach the target beside it.
+type Agent struct {
+	Counters AgentCounters
+
+	self    AgentSelf
+	target  targetSection
+	flows   flowSection
+	limits  Limits
+	cold    coldLimiter
+	effects []Effect
+	// stopping is set by a planned stop.
+	stopping bool
+}
+
+// Stop ends admission: a planned stop of the agent.
+type Stop struct{}
+
+func (*Stop) event() {}
+
+// NewAgent returns an agent that knows no target yet.
+func NewAgent(self AgentSelf) *Agent {
+	return &Agent{self: self, flows: newFlowSection()}
+}
+
+// Step handles an event. The effects are valid until the next step.
+func (a *Agent) Step(now time.Time, e Event) []Effect {
+	a.effects = a.effects[:0]
+	switch e := e.(type) {
+	case *SegmentReceived:
+		a.handleOutbound(now, e.Segment)
+	case *MessageReceived:
+		a.handleMessage(now, e.From, &e.Message)
+	case *Heartbeat:
+		a.handleHeartbeat(now, e)
+	case *Deregistered:
+		a.handleDeregistered(e)
+	case *PreviousRecord:
+		a.handlePreviousRecord(now, e)
+	case *Registered:
+		a.target.registered = e.Lifetime
+	case *Stop:
+		a.stopping = true
+	case *Tick:
+		a.flows.sweep(now)
+		a.watchTarget(now)
+	}
+	return a.effects
+}
+
+func (a *Agent) handleMessage(now time.Time, from netip.AddrPort, msg *Message) {
+	switch msg.Kind {
+	case MessageOpen:
+		a.open(now, from, msg)
+	case MessageCarry, MessageGuess, MessageTry:
+		a.carry(now, from, msg)
+	case MessageQuery:
+		a.Counters.Queries.Add(1)
+		verdict := a.verdict(msg.Flow, msg.Ack)
+		a.send(from, Message{Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict})
+	case MessagePing:
+		a.takeLimits(msg.Limits)
+		a.send(from, Message{Kind: MessagePong, Status: a.status(now)})
+	case MessageRefused, MessageMissed, MessageHeld, MessageAnswer, MessagePong:
+		// Only balancers get these.
+	}
+}
+
+// takeLimits keeps the newest limits.
+func (a *Agent) takeLimits(l Limits) {
+	if l.Revision < a.limits.Revision {
+		return
+	}
+	if l.DomainOut != a.limits.DomainOut {
+		why := "back in service"
+		if l.DomainOut {
+			why = "taken out"
+		}
+		a.report(Report{Text: "Failure domain changed.", Node: a.self.Domain, Why: why, Version: int64(l.Revision)})
+	}
+	a.limits = l
+}
+
+// open delivers a segment that opens a flow, or refuses it.
+func (a *Agent) open(now time.Time, from netip.AddrPort, msg *Message) {
+	s := msg.Segment
+	if held := a.flows.byFlow[s.Flow]; held != nil && s.Ack > 0 {
+		// A copy: the target answers it from the flow that it holds.
+		a.deliver(from, s)
+		return
+	}
+	if why := a.refusal(now, msg.Service); why != RefusedNot {
+		a.refuse(from, s, why)
+		return
+	}
+	a.cold.take(now)
+	a.flows.begin(now, s.Flow)
+	a.Counters.Admitted.Add(1)
+	a.deliver(from, s)
+}
+
+// refusal returns why the agent does not open a flow of the service now.
+func (a *Agent) refusal(now time.Time, service ServiceID) Refusal {
+	t := &a.target
+	switch {
+	case a.stopping || t.draining:
+		return RefusedDraining
+	case !t.usable(now):
+		return RefusedNoTarget
+	case service != t.service:
+		return RefusedService
+	case a.limits.DomainOut:
+		return RefusedOut
+	case a.flows.silent(now):
+		return RefusedSilent
+	case t.cold(now) && !a.cold.allows(now, a.limits.ColdPerSecond):
+		return RefusedCold
+	}
+	return RefusedNot
+}
+
+func (a *Agent) refuse(to netip.AddrPort, s Segment, why Refusal) {
+	a.Counters.RefusedOpen.Add(1)
+	a.report(Report{Text: "Refused to open the flow.", Flow: s.Flow, Why: why.String()})
+	a.send(to, Message{Kind: MessageRefused, Refusal: why, Segment: s})
+}
+
+// carry delivers a segment from the middle of a flow, or returns it.
+func (a *Agent) carry(now time.Time, from netip.AddrPort, msg *Message) {
+	s := msg.Segment
+	var ack uint32
+	if s.Flags.Has(FlagAck) {
+		ack = s.Ack
+	}
+	switch a.verdict(s.Flow, ack) {
+	case VerdictHeld:
+		if msg.Kind != MessageCarry {
+			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
+		}
+		a.flows.fromCaller(now, &s)
+		a.deliver(from, s)
+	case VerdictAbsent:
+		a.miss(from, s, VerdictAbsent)
+	case VerdictUnsure:
+		if msg.Kind == MessageGuess {
+			a.miss(from, s, VerdictUnsure)
+			return
+		}
+		a.Counters.Tried.Add(1)
+		a.report(Report{Text: "Trying an unknown flow at the target.", Flow: s.Flow})
+		a.deliver(from, s)
+	}
+}
+
+func (a *Agent) miss(to netip.AddrPort, s Segment, v Verdict) {
+	a.Counters.Missed.Add(1)
+	a.send(to, Message{Kind: MessageMissed, Verdict: v, Segment: s})
+}
+
+// verdict returns what the agent knows of a flow. A caller's acknowledgement
+// that the target can't have sent belongs to another flow of the same name.
+func (a *Agent) verdict(f Flow, ack uint32) Verdict {
+	if held := a.flows.byFlow[f]; held != nil && held.matches(ack) {
+		return VerdictHeld
+	}
+	if a.target.complete || a.flows.ruledOut(f) {
+		return VerdictAbsent
+	}
+	return VerdictUnsure
+}
+
+// handleOutbound handles a segment that the target sent or returned.
+func (a *Agent) handleOutbound(now time.Time, s Segment) {
+	if s.Flags.Has(FlagReturned) {
+		return
+	}
+	a.Counters.Answered.Add(1)
+	a.flows.fromTarget(now, &s)
+	a.emit(Effect{Kind: EffectAnswer, Segment: s})
+}
+
+// Returned is a segment that the target returned because it does not hold its
+// flow or can't open it. Balancer is where the segment had come from.
+type Returned struct {
+	Segment  Segment
+	Balancer netip.AddrPort
+}
+
+func (*Returned) event() {}
+
+// StepReturned handles a returned segment.
+func (a *Agent) StepReturned(now time.Time, r *Returned) []Effect {
+	a.effects = a.effects[:0]
+	s := r.Segment
+	a.Counters.Returned.Add(1)
+	a.flows.returned(now, s.Flow)
+	if s.Opens() {
+		a.send(r.Balancer, Message{Kind: MessageRefused, Refusal: RefusedFull, Segment: s})
+		return a.effects
+	}
+	a.report(Report{Text: "Target does not hold the flow.", Flow: s.Flow})
+	a.miss(r.Balancer, s, VerdictAbsent)
+	return a.effects
+}
+
+func (a *Agent) emit(e Effect) { a.effects = append(a.effects, e) }
+
+func (a *Agent) report(r Report) { a.emit(Effect{Kind: EffectReport, Report: r}) }
+
+func (a *Agent) send(to netip.AddrPort, msg Message) {
+	a.emit(Effect{Kind: EffectSend, To: to, Message: msg})
+}
+
+func (a *Agent) deliver(from netip.AddrPort, s Segment) {
+	a.Counters.Delivered.Add(1)
+	a.emit(Effect{Kind: EffectDeliver, Origin: from.Addr(), Segment: s})
+}
+
+// status returns what balancers learn with a pong.
+func (a *Agent) status(now time.Time) Status {
+	t := &a.target
+	return Status{
+		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
+		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
+		Flows: uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
+	}
+}
--- /dev/null
+++ b/internal/core/steering/balancer.go
@@ -0,0 +1,165 @@
+package steering
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// EffectRefresh asks for a read of the operators' state from the store.
+const EffectRefresh EffectKind = 100
+
+// StoreStateChanged tells whether the store's watches are up to date.
+type StoreStateChanged struct{ Fresh bool }
+
+func (*StoreStateChanged) event() {}
+
+// Self is a balancer's own identity.
+type Self struct {
+	Node   string
+	Domain string
+}
+
+// BalancerCounters counts decisions since the start.
+type BalancerCounters struct {
+	Opened, OpenNoAgent, Refused, Carried, Guessed, Missed, Searched, Tried atomic.Uint64
+	ResetNoRoute, ResetLost, Unknown, CacheFull                             atomic.Uint64
+}
+
+// Balancer decides where the segments of callers go.
+type Balancer struct {
+	Counters BalancerCounters
+
+	self    Self
+	config  configSection
+	members memberSection
+	holders map[Flow]*holding
+
+	searches     []Flow
+	storeFresh   bool
+	membersSince time.Time
+	lastSweep    time.Time
+	lastRefresh  time.Time
+	effects      []Effect
+}
+
+// NewBalancer returns a balancer that knows nothing.
+func NewBalancer(self Self) *Balancer {
+	return &Balancer{self: self, members: newMemberSection(), holders: make(map[Flow]*holding)}
+}
+
+// Step handles an event. The effects are valid until the next step.
+func (b *Balancer) Step(now time.Time, e Event) []Effect {
+	b.effects = b.effects[:0]
+	switch e := e.(type) {
+	case *SegmentReceived:
+		b.handleSegment(now, e.Segment)
+	case *MessageReceived:
+		b.handleMessage(now, e.From, &e.Message)
+	case *Tick:
+		b.tick(now)
+	case *ConfigurationLoaded:
+		b.loadConfiguration(now, e.State)
+	case *MembersLoaded:
+		if !b.members.loaded {
+			b.membersSince = now
+		}
+		b.loadMembers(now, e.Records)
+	case *StoreStateChanged:
+		b.storeFresh = e.Fresh
+	}
+	return b.effects
+}
+
+func (b *Balancer) handleSegment(now time.Time, s Segment) {
+	if !b.config.loaded {
+		return
+	}
+	r := b.config.route(s.Flow.Address)
+	switch {
+	case r == nil:
+		b.Counters.ResetNoRoute.Add(1)
+		b.reset(s, "no route")
+	case s.Opens():
+		b.open(now, s, r)
+	default:
+		b.carry(now, s)
+	}
+}
+
+func (b *Balancer) handleMessage(now time.Time, from netip.AddrPort, msg *Message) {
+	m := b.members.byPeer[from]
+	if m == nil {
+		return
+	}
+	switch msg.Kind {
+	case MessagePong:
+		b.handlePong(now, m, msg.Status)
+	case MessageRefused:
+		b.handleRefused(now, m, msg)
+	case MessageMissed:
+		b.handleMissed(now, m, msg)
+	case MessageHeld:
+		b.handleHeld(now, m, msg.Flow)
+	case MessageAnswer:
+		b.handleAnswer(now, m, msg)
+	case MessageOpen, MessageCarry, MessageGuess, MessageTry, MessageQuery, MessagePing:
+		// Only agents get these.
+	}
+}
+
+func (b *Balancer) tick(now time.Time) {
+	b.pingDue(now)
+	b.concludeDue(now)
+	b.forgetMembers(now)
+	if now.Sub(b.lastSweep) > sweepInterval {
+		b.sweep(now, holdingLifetime)
+	}
+}
+
+// Ready reports whether the balancer can serve: it has the configuration, the
+// agents, and the status of one agent unless there is none.
+func (b *Balancer) Ready(now time.Time) bool {
+	if !b.config.loaded || !b.members.loaded {
+		return false
+	}
+	for _, m := range b.members.byPeer {
+		if m.live(now) {
+			return true
+		}
+	}
+	return len(b.members.byPeer) == 0
+}
+
+// Version returns the version of the configuration in force, 0 if none is.
+func (b *Balancer) Version() int64 {
+	if b.config.state.Configuration == nil {
+		return 0
+	}
+	return b.config.state.Configuration.Version
+}
+
+func (b *Balancer) emit(e Effect) { b.effects = append(b.effects, e) }
+
+func (b *Balancer) report(r Report) { b.emit(Effect{Kind: EffectReport, Report: r}) }
+
+func (b *Balancer) send(m *member, msg Message) {
+	b.emit(Effect{Kind: EffectSend, To: m.record.Peer, Message: msg})
+}
+
+func (b *Balancer) sendSegment(m *member, kind MessageKind, s Segment, service ServiceID) {
+	b.send(m, Message{Kind: kind, Service: service, Segment: s})
+}
+
+// reset breaks a flow off towards its caller.
+func (b *Balancer) reset(s Segment, why string) {
+	if s.Flags.Has(FlagReset) {
+		return
+	}
+	var seq uint32
+	if s.Flags.Has(FlagAck) {
+		seq = s.Ack
+	}
+	b.emit(Effect{Kind: EffectReset, Flow: s.Flow, Seq: seq})
+	b.report(Report{Text: "Flow is reset.", Flow: s.Flow, Why: why, Version: b.Version()})
+}
--- /dev/null
+++ b/internal/core/steering/cold.go
@@ -0,0 +1,47 @@
+package steering
+
+import "time"
+
+const (
+	// coldWindow is the span in which openings at a cold target are counted.
+	coldWindow = time.Second
+	// unknownColdRate is the openings a second at a cold target while no
+	// balancer has told what its service bears.
+	unknownColdRate = 2
+	// maxColdOpenings bounds the memory of the limiter.
+	maxColdOpenings = 1024
+)
+
+// coldLimiter bounds the openings at a cold target in any second.
+type coldLimiter struct {
+	// openings is the times of the openings in the last second, oldest first.
+	openings []time.Time
+}
+
+// allows reports whether another opening keeps the rate.
+func (l *coldLimiter) allows(now time.Time, perSecond float32) bool {
+	l.trim(now)
+	limit := int(perSecond)
+	if limit < unknownColdRate {
+		limit = unknownColdRate
+	}
+	return len(l.openings) < min(limit, maxColdOpenings)
+}
+
+// take notes an opening.
+func (l *coldLimiter) take(now time.Time) {
+	l.trim(now)
+	if len(l.openings) < maxColdOpenings {
+		l.openings = append(l.openings, now)
+	}
+}
+
+func (l *coldLimiter) trim(now time.Time) {
+	n := 0
+	for n < len(l.openings) && now.Sub(l.openings[n]) > coldWindow {
+		n++
+	}
+	if n > 0 {
+		l.openings = l.openings[:copy(l.openings, l.openings[n:])]
+	}
+}
--- /dev/null
+++ b/internal/core/steering/flow.go
@@ -0,0 +1,82 @@
+package steering
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Endpoint is one end of a flow: an IPv4 address and a port.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// EndpointOf returns the endpoint of an IPv4 address and port, and false for
+// any other address.
+func EndpointOf(a netip.AddrPort) (Endpoint, bool) {
+	ip := a.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}, false
+	}
+	return Endpoint{IP: ip.As4(), Port: a.Port()}, true
+}
+
+// AddrPort returns the endpoint in the form of the standard library.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// String returns the endpoint as ip:port.
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Flow identifies a flow by the caller's end and the address it called.
+type Flow struct {
+	Caller  Endpoint
+	Address Endpoint
+}
+
+// String returns the flow as it stands in log lines.
+func (f Flow) String() string { return f.Caller.String() + ">" + f.Address.String() }
+
+// Hash returns the hash by which agents are ranked for the flow.
+func (f Flow) Hash() uint64 {
+	var b [12]byte
+	copy(b[0:], f.Caller.IP[:])
+	binary.BigEndian.PutUint16(b[4:], f.Caller.Port)
+	copy(b[6:], f.Address.IP[:])
+	binary.BigEndian.PutUint16(b[10:], f.Address.Port)
+	return xxhash.Sum64(b[:])
+}
+
+// Flags are the control bits of a segment.
+type Flags uint8
+
+// The control bits of a segment.
+const (
+	FlagOpen     Flags = 1 << iota // opens a flow (SYN)
+	FlagAck                        // Ack is valid
+	FlagClose                      // the sender has no more data (FIN)
+	FlagReset                      // the flow is broken off (RST)
+	FlagReturned                   // a target returned it: it does not hold the flow
+)
+
+// Has reports whether all bits of mask are set.
+func (f Flags) Has(mask Flags) bool { return f&mask == mask }
+
+// Segment is one datagram of a flow with its decoded header.
+type Segment struct {
+	Flow  Flow
+	Flags Flags
+	// Seq and Ack count bytes, as in TCP. In a segment that opens a flow, Ack
+	// counts the copies that the caller sent before.
+	Seq, Ack uint32
+	// Len is the number of data bytes.
+	Len int
+	// Raw is the datagram as its sender wrote it.
+	Raw []byte
+}
+
+// Opens reports whether the segment opens a flow.
+func (s *Segment) Opens() bool { return s.Flags&(FlagOpen|FlagAck) == FlagOpen }
--- /dev/null
+++ b/internal/core/steering/flows.go
@@ -0,0 +1,188 @@
+package steering
+
+import "time"
+
+const (
+	// tickInterval is how often a process lets time pass.
+	tickInterval = 50 * time.Millisecond
+	// flowLifetime is how long an agent remembers a silent flow.
+	flowLifetime = 70 * time.Second
+	// closedLifetime is how long a closed flow is remembered, for its last
+	// segments and their copies.
+	closedLifetime = 15 * time.Second
+	// openTimeout is how long a flow may stay unanswered by the target before it
+	// is forgotten.
+	openTimeout = 5 * time.Second
+	// ruledOutLifetime is how long an agent remembers that its target returned
+	// a segment of a flow.
+	ruledOutLifetime = 60 * time.Second
+	// ackWindow bounds how far a caller's acknowledgement may lie from what the
+	// target sent last: 16 segments in flight, many times over.
+	ackWindow = 1 << 20
+	// silentAfter is the time without a sign of the target after which an
+	// unanswered opening segment makes it silent. A target answers in about a
+	// millisecond.
+	silentAfter = 250 * time.Millisecond
+	// silentRetry is how often a silent target gets an opening segment.
+	silentRetry = 200 * time.Millisecond
+)
+
+// TickInterval is how often a process has to let time pass.
+const TickInterval = tickInterval
+
+// flow is a flow at the target.
+type flow struct {
+	// lastSeq is the sequence number after what the target sent last; seen is
+	// set once the target has sent something.
+	lastSeq uint32
+	seen    bool
+	open    bool // past the handshake
+	busy    bool // the caller has sent data that the target has not answered
+	closed  bool
+	last    time.Time
+}
+
+// matches reports whether an acknowledgement may belong to the flow.
+func (f *flow) matches(ack uint32) bool {
+	if ack == 0 || !f.seen {
+		return true
+	}
+	distance := int32(ack - f.lastSeq)
+	return distance > -ackWindow && distance < ackWindow
+}
+
+// flowSection is the flows that the target holds, as far as the agent has seen.
+type flowSection struct {
+	byFlow map[Flow]*flow
+	ruled  map[Flow]time.Time
+	busy   int
+	// unanswered is when the oldest opening segment was delivered that the
+	// target has not answered, zero if none.
+	unanswered time.Time
+	probed     time.Time
+	lastSweep  time.Time
+}
+
+func newFlowSection() flowSection {
+	return flowSection{byFlow: make(map[Flow]*flow), ruled: make(map[Flow]time.Time)}
+}
+
+// reset forgets the flows of an earlier lifetime.
+func (s *flowSection) reset() { *s = newFlowSection() }
+
+// begin notes an opening segment.
+func (s *flowSection) begin(now time.Time, f Flow) {
+	s.drop(f)
+	s.byFlow[f] = &flow{last: now}
+	delete(s.ruled, f)
+	if s.unanswered.IsZero() {
+		s.unanswered = now
+	}
+}
+
+// silent reports whether the target has left opening segments unanswered. A
+// segment now and then is let through to find out.
+func (s *flowSection) silent(now time.Time) bool {
+	if s.unanswered.IsZero() || now.Sub(s.unanswered) < silentAfter {
+		return false
+	}
+	if now.Sub(s.probed) < silentRetry {
+		return true
+	}
+	s.probed = now
+	return false
+}
+
+func (s *flowSection) setBusy(f *flow, busy bool) {
+	if f.busy == busy {
+		return
+	}
+	f.busy = busy
+	if busy {
+		s.busy++
+	} else {
+		s.busy--
+	}
+}
+
+// fromCaller notes a segment of the caller.
+func (s *flowSection) fromCaller(now time.Time, seg *Segment) {
+	f := s.byFlow[seg.Flow]
+	f.last = now
+	if seg.Len > 0 {
+		s.setBusy(f, true)
+	}
+	if seg.Flags.Has(FlagReset) {
+		f.closed = true
+		s.setBusy(f, false)
+	}
+}
+
+// fromTarget notes a segment of the target, which holds the flow.
+func (s *flowSection) fromTarget(now time.Time, seg *Segment) {
+	s.unanswered = time.Time{}
+	f := s.byFlow[seg.Flow]
+	if f == nil {
+		f = new(flow)
+		s.byFlow[seg.Flow] = f
+		delete(s.ruled, seg.Flow)
+	}
+	f.last = now
+	f.seen = true
+	f.lastSeq = seg.Seq + uint32(seg.Len)
+	f.open = f.open || !seg.Flags.Has(FlagOpen)
+	if seg.Len > 0 {
+		s.setBusy(f, false)
+	}
+	if seg.Flags&(FlagClose|FlagReset) != 0 {
+		f.closed = true
+		s.setBusy(f, false)
+	}
+}
+
+// returned notes that the target does not hold a flow.
+func (s *flowSection) returned(now time.Time, f Flow) {
+	s.unanswered = time.Time{}
+	s.drop(f)
+	s.ruled[f] = now
+}
+
+func (s *flowSection) ruledOut(f Flow) bool {
+	_, ok := s.ruled[f]
+	return ok
+}
+
+func (s *flowSection) drop(f Flow) {
+	if held := s.byFlow[f]; held != nil {
+		s.setBusy(held, false)
+		delete(s.byFlow, f)
+	}
+}
+
+// sweep forgets what is too old.
+func (s *flowSection) sweep(now time.Time) {
+	if now.Sub(s.lastSweep) < sweepInterval {
+		return
+	}
+	s.lastSweep = now
+	for f, held := range s.byFlow {
+		if now.Sub(held.last) > held.lifetime() {
+			s.drop(f)
+		}
+	}
+	for f, at := range s.ruled {
+		if now.Sub(at) > ruledOutLifetime {
+			delete(s.ruled, f)
+		}
+	}
+}
+
+func (f *flow) lifetime() time.Duration {
+	switch {
+	case f.closed:
+		return closedLifetime
+	case !f.seen:
+		return openTimeout
+	}
+	return flowLifetime
+}
--- /dev/null
+++ b/internal/core/steering/members.go
@@ -0,0 +1,173 @@
+package steering
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// pingInterval is how often a balancer asks each agent for its status. A
+	// shorter one finds dead agents sooner and costs messages.
+	pingInterval = 500 * time.Millisecond
+	// suspectAfter is the silence after which an agent gets no new flows: two
+	// pings and the answer's way.
+	suspectAfter = 1200 * time.Millisecond
+	// goneAfter is the silence after which an agent that the store no longer
+	// lists is forgotten. Live agents are back in the list within 2 s.
+	goneAfter = 5 * time.Second
+	// refreshInterval bounds how often a balancer reads the store because an
+	// agent has heard of a newer configuration.
+	refreshInterval = 300 * time.Millisecond
+)
+
+// MembersLoaded is the agents that the store lists.
+type MembersLoaded struct{ Records []AgentRecord }
+
+func (*MembersLoaded) event() {}
+
+// member is an agent as one balancer knows it.
+type member struct {
+	record  AgentRecord
+	service ServiceID
+	seed    uint64
+	local   bool
+	listed  bool
+	status  Status
+	// known is when the member was first seen here.
+	known    time.Time
+	lastPing time.Time
+	lastPong time.Time
+	// opened counts the flows sent to the agent since its last pong.
+	opened int
+	// avoidUntil is set by a refusal.
+	avoidUntil time.Time
+}
+
+// live reports whether the agent has answered lately.
+func (m *member) live(now time.Time) bool {
+	return !m.lastPong.IsZero() && now.Sub(m.lastPong) < suspectAfter
+}
+
+// lastHeard returns when the agent answered last, or when it became known.
+func (m *member) lastHeard() time.Time {
+	if m.lastPong.After(m.known) {
+		return m.lastPong
+	}
+	return m.known
+}
+
+// memberSection is the agents that a balancer knows.
+type memberSection struct {
+	loaded    bool
+	byPeer    map[netip.AddrPort]*member
+	byService map[ServiceID][]*member
+}
+
+func newMemberSection() memberSection {
+	return memberSection{byPeer: make(map[netip.AddrPort]*member), byService: make(map[ServiceID][]*member)}
+}
+
+// loadMembers takes the agents that the store lists. Agents that answer stay
+// members even if the store has lost them.
+func (b *Balancer) loadMembers(now time.Time, records []AgentRecord) {
+	s := &b.members
+	s.loaded = true
+	for _, m := range s.byPeer {
+		m.listed = false
+	}
+	for _, r := range records {
+		b.putMember(now, r)
+	}
+	b.forgetMembers(now)
+	s.index()
+}
+
+func (b *Balancer) putMember(now time.Time, r AgentRecord) {
+	m := b.members.byPeer[r.Peer]
+	if m == nil || m.record.Node != r.Node {
+		m = &member{known: now}
+		b.members.byPeer[r.Peer] = m
+		b.report(Report{Text: "Agent is listed.", Node: r.Node, Why: r.Service})
+	}
+	m.record = r
+	m.listed = true
+	m.local = r.Domain == b.self.Domain
+	m.seed = xxhash.Sum64String(r.Node)
+	if m.status.Service == 0 {
+		m.service = ServiceIDOf(r.Service)
+	}
+	if m.lastPing.IsZero() {
+		b.ping(now, m)
+	}
+}
+
+// forgetMembers drops the agents that neither the store lists nor answer.
+func (b *Balancer) forgetMembers(now time.Time) {
+	s := &b.members
+	for peer, m := range s.byPeer {
+		if !m.listed && now.Sub(m.lastHeard()) > goneAfter {
+			delete(s.byPeer, peer)
+			s.index()
+			b.report(Report{Text: "Agent is forgotten.", Node: m.record.Node, Age: now.Sub(m.lastHeard())})
+		}
+	}
+}
+
+// index rebuilds the members by service.
+func (s *memberSection) index() {
+	clear(s.byService)
+	for _, m := range s.byPeer {
+		s.byService[m.service] = append(s.byService[m.service], m)
+	}
+}
+
+// pingAll asks every agent for its status now.
+func (b *Balancer) pingAll(now time.Time) {
+	for _, m := range b.members.byPeer {
+		b.ping(now, m)
+	}
+}
+
+func (b *Balancer) ping(now time.Time, m *member) {
+	m.lastPing = now
+	b.send(m, Message{Kind: MessagePing, Limits: b.config.limits(m)})
+}
+
+// pingDue asks the agents whose last ping is old enough.
+func (b *Balancer) pingDue(now time.Time) {
+	for _, m := range b.members.byPeer {
+		if now.Sub(m.lastPing) >= pingInterval {
+			b.ping(now, m)
+		}
+	}
+}
+
+// handlePong takes an agent's status.
+func (b *Balancer) handlePong(now time.Time, m *member, s Status) {
+	if !m.live(now) {
+		b.report(Report{Text: "Agent answers.", Node: m.record.Node, Why: s.Refusal.String(), Age: now.Sub(m.lastHeard())})
+	} else if m.status.Refusal != s.Refusal {
+		b.report(Report{Text: "Agent changed.", Node: m.record.Node, Why: s.Refusal.String()})
+	}
+	m.status = s
+	m.lastPong = now
+	m.opened = 0
+	if s.Service != 0 && s.Service != m.service {
+		m.service = s.Service
+		b.members.index()
+	}
+	if s.Revision > b.config.state.Revision {
+		b.refresh(now)
+	}
+}
+
+// refresh asks for a read of the store.
+func (b *Balancer) refresh(now time.Time) {
+	if now.Sub(b.lastRefresh) < refreshInterval {
+		return
+	}
+	b.lastRefresh = now
+	b.emit(Effect{Kind: EffectRefresh})
+}
--- /dev/null
+++ b/internal/core/steering/routes.go
@@ -0,0 +1,123 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServiceIDOf returns the identifier of a service's name.
+func ServiceIDOf(name string) ServiceID {
+	id := ServiceID(xxhash.Sum64String(name))
+	if id == 0 {
+		id = 1
+	}
+	return id
+}
+
+// Share is a service's share of the new flows of a route.
+type Share struct {
+	Service ServiceID
+	Weight  int
+}
+
+// Route says where new flows to an address go.
+type Route struct {
+	Name   string
+	Shares []Share
+}
+
+// pick returns the service for a flow. All balancers with the same route pick
+// the same one.
+func (r *Route) pick(hash uint64) ServiceID {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return 0
+	}
+	// The high bits: the low ones rank the agents.
+	point := int((hash >> 32) % uint64(total))
+	for _, s := range r.Shares {
+		if point -= s.Weight; point < 0 {
+			return s.Service
+		}
+	}
+	return 0
+}
+
+// Configuration is what operators declared.
+type Configuration struct {
+	Version int64
+	Routes  map[Endpoint]*Route
+	// ColdPerSecond is the openings a second that a cold target of a service
+	// bears.
+	ColdPerSecond map[ServiceID]float32
+}
+
+// OperatorState is everything that operators wrote, as read at one revision of
+// the store.
+type OperatorState struct {
+	Revision      uint64
+	Configuration *Configuration
+	// DomainsOut is the failure domains that are taken out.
+	DomainsOut map[string]bool
+}
+
+// ConfigurationLoaded is the operators' state as the store has it.
+type ConfigurationLoaded struct{ State OperatorState }
+
+func (*ConfigurationLoaded) event() {}
+
+// configSection is the operators' state in force. Versions never fall in the
+// life of a process.
+type configSection struct {
+	state  OperatorState
+	loaded bool
+}
+
+// load takes a newer state and reports whether it did.
+func (c *configSection) load(s OperatorState) bool {
+	if c.loaded && s.Revision < c.state.Revision {
+		return false
+	}
+	if held := c.state.Configuration; held != nil && (s.Configuration == nil || s.Configuration.Version < held.Version) {
+		s.Configuration = held
+	}
+	c.state = s
+	c.loaded = s.Configuration != nil
+	return true
+}
+
+func (c *configSection) route(address Endpoint) *Route {
+	if c.state.Configuration == nil {
+		return nil
+	}
+	return c.state.Configuration.Routes[address]
+}
+
+// limits returns what an agent has to enforce.
+func (c *configSection) limits(m *member) Limits {
+	l := Limits{Revision: c.state.Revision, DomainOut: c.state.DomainsOut[m.record.Domain]}
+	if c.state.Configuration != nil {
+		l.ColdPerSecond = c.state.Configuration.ColdPerSecond[m.service]
+	}
+	return l
+}
+
+// loadConfiguration brings the configuration into force and tells agents.
+func (b *Balancer) loadConfiguration(now time.Time, s OperatorState) {
+	if !b.config.load(s) {
+		return
+	}
+	version := int64(0)
+	if s.Configuration != nil {
+		version = s.Configuration.Version
+	}
+	b.report(Report{Text: "Configuration is in force.", Version: version})
+	b.pingAll(now)
+}
--- /dev/null
+++ b/internal/core/steering/target.go
@@ -0,0 +1,194 @@
+package steering
+
+import "time"
+
+const (
+	// missedHeartbeats is how many heartbeat intervals of silence make a target
+	// unusable for new flows: two lost ones and a late one.
+	missedHeartbeats = 3
+	// registerPatience is how long an agent waits for its record to be written
+	// before it admits flows without: a few calls to a healthy store.
+	registerPatience = 300 * time.Millisecond
+)
+
+// Heartbeat is what a target says of itself.
+type Heartbeat struct {
+	// Instance names the target's process.
+	Instance string
+	Service  string
+	// Lifetime is the start of the target's process, in milliseconds since 1970
+	// by its own clock.
+	Lifetime int64
+	// Sequence rises with each heartbeat of a lifetime.
+	Sequence int64
+	Draining bool
+	Slots    int
+	// ColdFor is how much longer the target stays cold.
+	ColdFor time.Duration
+}
+
+// Deregistered says that a target is about to end.
+type Deregistered struct{ Instance string }
+
+// PreviousRecord is the agent's record as an earlier process left it in the
+// store; Found is false if there was none.
+type PreviousRecord struct {
+	Found  bool
+	Record AgentRecord
+}
+
+// Registered reports that the record for a lifetime is in the store.
+type Registered struct{ Lifetime int64 }
+
+func (*Heartbeat) event()      {}
+func (*Deregistered) event()   {}
+func (*PreviousRecord) event() {}
+func (*Registered) event()     {}
+
+// targetSection is the target beside the agent.
+type targetSection struct {
+	known    bool
+	gone     bool
+	draining bool
+	instance string
+	service  ServiceID
+	name     string
+	lifetime int64
+	sequence int64
+	slots    int
+	since    time.Time
+	lastBeat time.Time
+	interval time.Duration
+	// coldUntil is when the target is warm.
+	coldUntil time.Time
+	// registered is the lifetime of the record in the store.
+	registered int64
+	// previous is the lifetime that an earlier process of this agent served;
+	// previousKnown is set once it was read.
+	previous      int64
+	previousKnown bool
+	// complete reports that the agent has seen every segment of the target's
+	// lifetime.
+	complete bool
+}
+
+// usable reports whether flows can be opened at the target.
+func (t *targetSection) usable(now time.Time) bool {
+	if !t.known || t.gone || now.Sub(t.lastBeat) > missedHeartbeats*t.interval {
+		return false
+	}
+	return t.registered == t.lifetime || now.Sub(t.since) > registerPatience
+}
+
+// cold reports whether the target is in cold start.
+func (t *targetSection) cold(now time.Time) bool { return now.Before(t.coldUntil) }
+
+// handleHeartbeat takes what the target says of itself, unless it is late.
+func (a *Agent) handleHeartbeat(now time.Time, h *Heartbeat) {
+	t := &a.target
+	switch {
+	case t.known && h.Lifetime < t.lifetime,
+		t.known && h.Lifetime == t.lifetime && h.Sequence <= t.sequence:
+		a.Counters.HeartbeatsIgnored.Add(1)
+		a.report(Report{Text: "Heartbeat is out of date.", Node: h.Instance})
+		return
+	case !t.known || h.Lifetime > t.lifetime || h.Instance != t.instance:
+		a.beginLifetime(now, h)
+	}
+	if h.Draining != t.draining {
+		a.report(Report{Text: "Target's state changed.", Node: h.Instance, Why: stateName(h.Draining)})
+	}
+	t.sequence = h.Sequence
+	t.draining = h.Draining
+	t.slots = h.Slots
+	t.lastBeat = now
+	t.coldUntil = now.Add(h.ColdFor)
+}
+
+func stateName(draining bool) string {
+	if draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// beginLifetime takes a new process of the target. Its flows start empty.
+func (a *Agent) beginLifetime(now time.Time, h *Heartbeat) {
+	t := &a.target
+	// Flows of a target that started under this process are all known.
+	complete := t.known || t.previousKnown && t.previous != h.Lifetime
+	*t = targetSection{
+		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
+		lifetime: h.Lifetime, since: now, interval: a.self.HeartbeatInterval,
+		registered: t.registered, previous: t.previous, previousKnown: t.previousKnown, complete: complete,
+	}
+	if complete {
+		a.flows.reset()
+	}
+	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Version: h.Lifetime})
+	a.register()
+}
+
+// handlePreviousRecord learns which lifetime an earlier process served.
+func (a *Agent) handlePreviousRecord(now time.Time, p *PreviousRecord) {
+	t := &a.target
+	if t.previousKnown {
+		return
+	}
+	t.previousKnown = true
+	if p.Found {
+		t.previous = p.Record.Lifetime
+		t.registered = p.Record.Lifetime
+	}
+	if !t.known {
+		return
+	}
+	if t.previous != t.lifetime {
+		t.complete = true
+	}
+	a.register()
+}
+
+// register asks for the record of the current lifetime, once it is known what
+// the store holds.
+func (a *Agent) register() {
+	t := &a.target
+	if !t.previousKnown || t.registered == t.lifetime {
+		return
+	}
+	a.emit(Effect{Kind: EffectRegister, Record: a.Record()})
+}
+
+// Record returns the agent's record for its target's lifetime.
+func (a *Agent) Record() AgentRecord {
+	return AgentRecord{
+		Node: a.self.Node, Domain: a.self.Domain, Service: a.target.name,
+		Peer: a.self.Peer, Lifetime: a.target.lifetime,
+	}
+}
+
+// HasTarget reports whether the agent's target lives, as far as it knows.
+func (a *Agent) HasTarget(now time.Time) bool {
+	return a.target.known && !a.target.gone && now.Sub(a.target.lastBeat) <= missedHeartbeats*a.target.interval
+}
+
+// handleDeregistered notes the end of the target.
+func (a *Agent) handleDeregistered(d *Deregistered) {
+	if !a.target.known || d.Instance != a.target.instance {
+		return
+	}
+	a.target.gone = true
+	a.report(Report{Text: "Target is gone.", Node: d.Instance})
+}
+
+// watchTarget reports when the target falls silent.
+func (a *Agent) watchTarget(now time.Time) {
+	t := &a.target
+	if !t.known || t.gone || t.lastBeat.IsZero() {
+		return
+	}
+	limit := missedHeartbeats * t.interval
+	if silence := now.Sub(t.lastBeat); silence > limit && silence <= limit+tickInterval {
+		a.report(Report{Text: "Target is silent.", Node: t.instance, Age: silence})
+	}
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -40,6 +40,7 @@
 				func(ctx context.Context, s *settings.Balancer) error { return runBalancer(ctx, stderr, s) }),
 			roleCommand("agent", "end flows and admit requests, beside a target", settings.LoadAgent,
 				func(ctx context.Context, s *settings.Agent) error { return runAgent(ctx, stderr, s) }),
+			directCommand(stdout),
 		},
 	}
 }
@@ -47,11 +48,17 @@
 // roleCommand returns the subcommand of one role, which reads its settings
 // and runs until the context ends.
 func roleCommand[S any](name, usage string, load func(string) (*S, error), run func(context.Context, *S) error) *cli.Command {
+	return roleCommandAt("", name, usage, load, run)
+}
+
+// roleCommandAt is roleCommand with a default path of the settings; none if it
+// is empty.
+func roleCommandAt[S any](path, name, usage string, load func(string) (*S, error), run func(context.Context, *S) error) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagConfig, Usage: "settings `FILE` in TOML", Required: true},
+			&cli.StringFlag{Name: flagConfig, Usage: "settings `FILE` in TOML", Value: path, Required: path == ""},
 			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
--- /dev/null
+++ b/internal/daemon/direct.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/direct"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
+	"amaranthwheel.example/amaranthwheel/internal/settings"
+	"amaranthwheel.example/amaranthwheel/internal/store"
+	"amaranthwheel.example/amaranthwheel/platform"
+)
+
+// directCommand returns the command group of the daemons for direct server
+// return. Logs go to logs.
+func directCommand(logs io.Writer) *cli.Command {
+	path := platform.SettingsPath()
+	return &cli.Command{
+		Name:  "direct",
+		Usage: "balance flows that end at the targets, on the users' platform",
+		Commands: []*cli.Command{
+			roleCommandAt(path, "balancer", "forward callers' segments, on an entry host", settings.LoadDirectBalancer,
+				func(ctx context.Context, s *settings.DirectBalancer) error { return runDirectBalancer(ctx, logs, s) }),
+			roleCommandAt(path, "agent", "open flows at the target beside it", settings.LoadDirectAgent,
+				func(ctx context.Context, s *settings.DirectAgent) error { return runDirectAgent(ctx, logs, s) }),
+		},
+	}
+}
+
+func runDirectBalancer(ctx context.Context, logs io.Writer, s *settings.DirectBalancer) error {
+	return runDirect(ctx, "balancer", logs, &s.Direct, fx.Options(
+		fx.Supply(s),
+		fx.Provide(direct.NewBalancer),
+		fx.Invoke(register[*direct.Balancer]),
+	))
+}
+
+func runDirectAgent(ctx context.Context, logs io.Writer, s *settings.DirectAgent) error {
+	return runDirect(ctx, "agent", logs, &s.Direct, fx.Options(
+		fx.Supply(s),
+		fx.Provide(newTargetHandler, direct.NewAgent),
+		fx.Invoke(register[*direct.Agent]),
+	))
+}
+
+// runDirect assembles a daemon for direct server return and runs it until the
+// context ends.
+func runDirect(ctx context.Context, name string, logs io.Writer, s *settings.Direct, role fx.Option) error {
+	return runApp(ctx, s.StopTimeout, fx.Options(
+		obs.WithLogger(),
+		fx.Supply(s),
+		obs.Module(obs.Options{Role: name, LogWriter: logs, LogLevel: s.LogLevel}),
+		fx.Provide(newPlatform),
+		role,
+	))
+}
+
+// newPlatform returns the platform that the daemons run on.
+func newPlatform(s *settings.Direct, metrics tally.Scope) direct.Platform {
+	return direct.Platform{
+		Segments:       platform.Segments{},
+		Store:          platform.NewStore(s.Store.Address, s.Store.Timeout, store.NewTallyCounter(metrics)),
+		ReadyPath:      platform.ReadyPath,
+		OperatorPrefix: platform.OperatorPrefix,
+		AgentPrefix:    platform.AgentPrefix,
+		OperatorState:  platform.OperatorState,
+	}
+}
+
+func newTargetHandler() direct.TargetHandler {
+	return func(heartbeat func(*steering.Heartbeat), gone func(*steering.Deregistered), rejected func(error)) http.Handler {
+		return platform.TargetHandler(platform.TargetEvents{Heartbeat: heartbeat, Deregistered: gone, Rejected: rejected})
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -52,15 +52,18 @@
 // run assembles a daemon around its common parts, starts it, waits for the
 // context's end and stops it.
 func run(ctx context.Context, name string, logs io.Writer, s settings.Common, role fx.Option) error {
-	app := fx.New(
+	return runApp(ctx, s.StopTimeout, fx.Options(
 		obs.WithLogger(),
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.StopTimeout+stopMargin),
 		fx.Supply(s),
 		obs.Module(obs.Options{Role: name, LogWriter: logs, LogLevel: s.LogLevel, TraceFile: s.TraceFile}),
 		fx.Provide(process.NewBase),
 		role,
-	)
+	))
+}
+
+// runApp runs an application until the context ends.
+func runApp(ctx context.Context, stopTimeout time.Duration, parts fx.Option) error {
+	app := fx.New(fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout+stopMargin), parts)
 	if err := app.Start(ctx); err != nil {
 		return &RunError{err}
 	}
--- /dev/null
+++ b/internal/direct/agent.go
@@ -0,0 +1,183 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
+	"amaranthwheel.example/amaranthwheel/internal/process"
+	"amaranthwheel.example/amaranthwheel/internal/settings"
+)
+
+// TargetHandler serves the calls of the target and passes on what they say.
+type TargetHandler func(heartbeat func(*steering.Heartbeat), gone func(*steering.Deregistered), rejected func(error)) http.Handler
+
+// Agent is a running agent for direct server return.
+type Agent struct {
+	*node
+	settings  *settings.DirectAgent
+	handler   TargetHandler
+	mu        sync.Mutex // guards core and node.out
+	core      *steering.Agent
+	registrar *registrar
+	outbound  *net.UDPConn
+}
+
+// NewAgent returns an agent that has not started.
+func NewAgent(s *settings.DirectAgent, p Platform, h TargetHandler, logs *obs.Logs, metrics tally.Scope) *Agent {
+	a := &Agent{
+		node:     newNode(&s.Direct, p, "agent", logs, metrics),
+		settings: s,
+		handler:  h,
+		core: steering.NewAgent(steering.AgentSelf{
+			Self:    steering.Self{Node: string(s.Node), Domain: string(s.Domain)},
+			Service: s.Service, Peer: s.Peer,
+			Epoch:             uint64(time.Now().UnixNano()),
+			HeartbeatInterval: s.HeartbeatInterval,
+		}),
+	}
+	a.registrar = &registrar{
+		store: p.Store, key: p.AgentPrefix + string(s.Node), ttl: s.Store.Lease,
+		wanted: make(chan steering.AgentRecord, 1),
+		notify: a.step, warn: a.warn, info: a.info,
+	}
+	return a
+}
+
+// Start opens the sockets and waits for the target.
+func (a *Agent) Start(metrics http.Handler) error {
+	var err error
+	if a.outbound, err = listenUDP(a.settings.Outbound); err != nil {
+		return fmt.Errorf("listen for the target: %w", err)
+	}
+	if a.peer, err = listenUDP(a.settings.Peer); err != nil {
+		return fmt.Errorf("listen for balancers: %w", err)
+	}
+	target := a.handler(
+		func(h *steering.Heartbeat) { a.step(h) },
+		func(d *steering.Deregistered) { a.step(d) },
+		func(err error) { a.warn("A call of the target can't be read.", err) },
+	)
+	if err := a.serve(a.settings.Announce, target); err != nil {
+		return err
+	}
+	if err := a.serve(a.settings.Ready, readyHandler(a.platform.ReadyPath, a.ready)); err != nil {
+		return err
+	}
+	if err := a.serve(a.settings.Metrics, metrics); err != nil {
+		return err
+	}
+	a.group.Go(func() { readAll(a.outbound, a.fromTarget) })
+	a.group.Go(func() { readAll(a.peer, a.fromPeer) })
+	a.group.Go(func() { a.every(tickEvery, func() { a.step(&steering.Tick{}) }) })
+	a.group.Go(func() { a.countersByName().Report(a.ctx, a.metrics) })
+	a.group.Go(func() { a.registrar.run(a.ctx) })
+	a.info("Agent started.", "node", a.settings.Node, "domain", a.settings.Domain, "target", a.settings.Target)
+	return nil
+}
+
+// tickEvery is how often an agent lets time pass: it has no short timers.
+const tickEvery = 500 * time.Millisecond
+
+func (a *Agent) fromTarget(raw []byte, _ netip.AddrPort) {
+	s, err := a.platform.Segments.FromTarget(raw)
+	if err != nil {
+		a.counters.SegmentsMalformed.Add(1)
+		return
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s.Flags.Has(steering.FlagReturned) {
+		origin := netip.AddrPortFrom(a.platform.Segments.Origin(raw), a.settings.Peer.Port())
+		a.platform.Segments.ClearReturned(raw)
+		s.Flags &^= steering.FlagReturned
+		a.carryOut(now, a.core.StepReturned(now, &steering.Returned{Segment: s, Balancer: origin}))
+		return
+	}
+	event := steering.SegmentReceived{Segment: s}
+	a.carryOut(now, a.core.Step(now, &event))
+}
+
+func (a *Agent) fromPeer(raw []byte, from netip.AddrPort) {
+	if m, ok := a.decode(raw); ok {
+		a.step(&steering.MessageReceived{From: from, Message: m})
+	}
+}
+
+func (a *Agent) step(e steering.Event) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.carryOut(now, a.core.Step(now, e))
+}
+
+// carryOut carries out the core's effects; a.mu is held.
+func (a *Agent) carryOut(now time.Time, effects []steering.Effect) {
+	for i := range effects {
+		e := &effects[i]
+		switch e.Kind {
+		case steering.EffectSend:
+			a.sendMessage(e.To, &e.Message)
+		case steering.EffectDeliver:
+			a.platform.Segments.SetOrigin(e.Segment.Raw, e.Origin)
+			a.send(a.outbound, e.Segment.Raw, a.settings.Target)
+		case steering.EffectAnswer:
+			a.send(a.outbound, e.Segment.Raw, a.answerTo(e.Segment.Flow))
+		case steering.EffectRegister:
+			a.registrar.want(e.Record)
+		case steering.EffectReport:
+			a.report(now, &e.Report)
+		case steering.EffectReset, steering.EffectRefresh:
+			// Only balancers have these.
+		}
+	}
+}
+
+func (a *Agent) ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.HasTarget(time.Now())
+}
+
+// Stop ends the agent. The record stays if the target lives: another process
+// takes its place.
+func (a *Agent) Stop(ctx context.Context) {
+	a.mu.Lock()
+	lives := a.core.HasTarget(time.Now())
+	a.mu.Unlock()
+	a.step(&steering.Stop{})
+	if !lives {
+		a.registrar.remove(ctx)
+	}
+	_ = a.outbound.Close()
+	a.close()
+	a.info("Stopped.", "target_lives", lives)
+}
+
+func (a *Agent) countersByName() process.Counters {
+	c := &a.core.Counters
+	return process.Counters{
+		"direct_admitted":           &c.Admitted,
+		"direct_refused":            &c.RefusedOpen,
+		"direct_delivered":          &c.Delivered,
+		"direct_answered":           &c.Answered,
+		"direct_missed":             &c.Missed,
+		"direct_returned":           &c.Returned,
+		"direct_tried":              &c.Tried,
+		"direct_queries":            &c.Queries,
+		"direct_heartbeats_ignored": &c.HeartbeatsIgnored,
+		"direct_segments_malformed": &a.counters.SegmentsMalformed,
+		"direct_messages_malformed": &a.counters.MessagesMalformed,
+		"direct_send_failed":        &a.counters.SendFailed,
+		"direct_reports_suppressed": &a.counters.ReportsSuppressed,
+	}
+}
--- /dev/null
+++ b/internal/direct/balancer.go
@@ -0,0 +1,213 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
+	"amaranthwheel.example/amaranthwheel/internal/process"
+	"amaranthwheel.example/amaranthwheel/internal/settings"
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+const (
+	// drainQuiet is how long a stopping balancer must have seen no segment.
+	drainQuiet = 400 * time.Millisecond
+	// drainLeast is how long a stopping balancer forwards in any case: routers
+	// ask twice a second and need two misses.
+	drainLeast = 1500 * time.Millisecond
+	// stopReserve is kept of the stop timeout for closing.
+	stopReserve = 500 * time.Millisecond
+)
+
+// Balancer is a running balancer for direct server return.
+type Balancer struct {
+	*node
+	mu       sync.Mutex // guards core, lastSegment and node.out
+	core     *steering.Balancer
+	segments *net.UDPConn
+	stopping atomic.Bool
+	// lastSegment is when a caller's segment came last.
+	lastSegment time.Time
+	refresh     chan struct{}
+	fresh       [2]bool // of operators' state and agents
+}
+
+// NewBalancer returns a balancer that has not started.
+func NewBalancer(s *settings.DirectBalancer, p Platform, logs *obs.Logs, metrics tally.Scope) *Balancer {
+	return &Balancer{
+		node:    newNode(&s.Direct, p, "balancer", logs, metrics),
+		core:    steering.NewBalancer(steering.Self{Node: string(s.Node), Domain: string(s.Domain)}),
+		refresh: make(chan struct{}, 1),
+	}
+}
+
+// Start opens the sockets, follows the store and forwards.
+func (b *Balancer) Start(metrics http.Handler) error {
+	var err error
+	if b.segments, err = listenUDP(b.settings.Segments); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if b.peer, err = listenUDP(b.settings.Peer); err != nil {
+		return fmt.Errorf("listen for agents: %w", err)
+	}
+	if err := b.serve(b.settings.Ready, readyHandler(b.platform.ReadyPath, b.ready)); err != nil {
+		return err
+	}
+	if err := b.serve(b.settings.Metrics, metrics); err != nil {
+		return err
+	}
+	b.follow(0, b.platform.OperatorPrefix, b.refresh, b.loadOperators)
+	b.follow(1, b.platform.AgentPrefix, nil, b.loadAgents)
+	b.group.Go(func() { readAll(b.segments, b.fromCaller) })
+	b.group.Go(func() { readAll(b.peer, b.fromPeer) })
+	b.group.Go(func() { b.every(steering.TickInterval, func() { b.step(&steering.Tick{}) }) })
+	b.group.Go(func() { b.countersByName().Report(b.ctx, b.metrics) })
+	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments)
+	return nil
+}
+
+// follow keeps a part of the store up to date in the core.
+func (b *Balancer) follow(index int, prefix string, refresh chan struct{}, changed func(store.Revision, []store.KeyValue)) {
+	f := &follower{
+		store: b.platform.Store, prefix: prefix, wait: b.settings.Store.Wait, refresh: refresh, changed: changed,
+		fresh: func(up bool, err error) { b.setFresh(index, prefix, up, err) },
+	}
+	b.group.Go(func() { f.run(b.ctx) })
+}
+
+func (b *Balancer) setFresh(index int, prefix string, up bool, err error) {
+	if up {
+		b.info("Store is followed.", "prefix", prefix)
+	} else {
+		b.warn("Store is lost.", err)
+	}
+	b.mu.Lock()
+	b.fresh[index] = up
+	all := b.fresh[0] && b.fresh[1]
+	b.mu.Unlock()
+	b.step(&steering.StoreStateChanged{Fresh: all})
+}
+
+func (b *Balancer) loadOperators(revision store.Revision, items []store.KeyValue) {
+	state, errs := b.platform.OperatorState(revision, items)
+	for _, err := range errs {
+		b.warn("An entry of the operators can't be read.", err)
+	}
+	b.step(&steering.ConfigurationLoaded{State: state})
+}
+
+func (b *Balancer) loadAgents(_ store.Revision, items []store.KeyValue) {
+	records, errs := decodeRecords(items)
+	for _, err := range errs {
+		b.warn("An agent's record can't be read.", err)
+	}
+	b.step(&steering.MembersLoaded{Records: records})
+}
+
+func (b *Balancer) fromCaller(raw []byte, _ netip.AddrPort) {
+	s, err := b.platform.Segments.FromCaller(raw)
+	if err != nil {
+		b.counters.SegmentsMalformed.Add(1)
+		return
+	}
+	event := steering.SegmentReceived{Segment: s}
+	now := time.Now()
+	b.mu.Lock()
+	b.lastSegment = now
+	b.carryOut(now, b.core.Step(now, &event))
+	b.mu.Unlock()
+}
+
+func (b *Balancer) fromPeer(raw []byte, from netip.AddrPort) {
+	if m, ok := b.decode(raw); ok {
+		b.step(&steering.MessageReceived{From: from, Message: m})
+	}
+}
+
+func (b *Balancer) step(e steering.Event) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.carryOut(now, b.core.Step(now, e))
+}
+
+// carryOut carries out the core's effects; b.mu is held.
+func (b *Balancer) carryOut(now time.Time, effects []steering.Effect) {
+	for i := range effects {
+		e := &effects[i]
+		switch e.Kind {
+		case steering.EffectSend:
+			b.sendMessage(e.To, &e.Message)
+		case steering.EffectReset:
+			b.out = b.platform.Segments.AppendReset(b.out[:0], e.Flow, e.Seq)
+			b.send(b.segments, b.out, b.answerTo(e.Flow))
+		case steering.EffectReport:
+			b.report(now, &e.Report)
+		case steering.EffectRefresh:
+			select {
+			case b.refresh <- struct{}{}:
+			default: // one is waiting already
+			}
+		case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister:
+			// Only agents have these.
+		}
+	}
+}
+
+// ready reports whether routers may send segments here.
+func (b *Balancer) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.stopping.Load() && b.core.Ready(time.Now())
+}
+
+// Stop tells routers to send elsewhere and forwards until they do.
+func (b *Balancer) Stop(ctx context.Context) {
+	b.stopping.Store(true)
+	began := time.Now()
+	b.info("Stopping. Still forwarding.", "for", b.settings.StopTimeout)
+	for ctx.Err() == nil && time.Since(began) < b.settings.StopTimeout-stopReserve {
+		sleep(ctx, steering.TickInterval)
+		b.mu.Lock()
+		quiet := time.Since(b.lastSegment) > drainQuiet
+		b.mu.Unlock()
+		if quiet && time.Since(began) > drainLeast {
+			break
+		}
+	}
+	_ = b.segments.Close()
+	b.close()
+	b.info("Stopped.", "after", time.Since(began).Round(time.Millisecond))
+}
+
+func (b *Balancer) countersByName() process.Counters {
+	c := &b.core.Counters
+	return process.Counters{
+		"direct_opened":             &c.Opened,
+		"direct_open_no_agent":      &c.OpenNoAgent,
+		"direct_open_refused":       &c.Refused,
+		"direct_carried":            &c.Carried,
+		"direct_guessed":            &c.Guessed,
+		"direct_missed":             &c.Missed,
+		"direct_searched":           &c.Searched,
+		"direct_tried":              &c.Tried,
+		"direct_reset_no_route":     &c.ResetNoRoute,
+		"direct_reset_lost":         &c.ResetLost,
+		"direct_unknown":            &c.Unknown,
+		"direct_cache_full":         &c.CacheFull,
+		"direct_segments_malformed": &b.counters.SegmentsMalformed,
+		"direct_messages_malformed": &b.counters.MessagesMalformed,
+		"direct_send_failed":        &b.counters.SendFailed,
+		"direct_reports_suppressed": &b.counters.ReportsSuppressed,
+	}
+}
--- /dev/null
+++ b/internal/direct/follow.go
@@ -0,0 +1,151 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+const (
+	// coalesce is the pause between two polls after a change, so that a series
+	// of changes costs a few calls. Changes have seconds to come into force.
+	coalesce = 250 * time.Millisecond
+	// minRetry and maxRetry bound the pause after a failed call. The longest one
+	// is short: a node without a configuration can't serve.
+	minRetry = 100 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// newBackoff returns the jittered pauses between failed calls to the store.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = minRetry
+	b.MaxInterval = maxRetry
+	return b
+}
+
+// follower keeps a copy of the pairs under a prefix of the store.
+type follower struct {
+	store  store.Polled
+	prefix string
+	wait   time.Duration
+	// changed is called with all pairs after each change.
+	changed func(store.Revision, []store.KeyValue)
+	// fresh is called when the copy begins and ceases to be up to date.
+	fresh func(bool, error)
+	// refresh asks for a read of all pairs.
+	refresh chan struct{}
+
+	pairs map[string]store.KeyValue
+	isUp  bool
+}
+
+// run follows the prefix until the context ends.
+func (f *follower) run(ctx context.Context) {
+	retry := newBackoff()
+	for ctx.Err() == nil {
+		err := f.follow(ctx, retry)
+		if ctx.Err() != nil {
+			return
+		}
+		f.setFresh(false, err)
+		if errors.Is(err, store.ErrHistoryGone) {
+			continue
+		}
+		sleep(ctx, retry.NextBackOff())
+	}
+}
+
+func (f *follower) setFresh(up bool, err error) {
+	if f.isUp == up {
+		return
+	}
+	f.isUp = up
+	f.fresh(up, err)
+}
+
+// follow reads all pairs and polls for changes until a call fails.
+func (f *follower) follow(ctx context.Context, retry *backoff.ExponentialBackOff) error {
+	result, err := f.store.List(ctx, f.prefix)
+	if err != nil {
+		return err
+	}
+	retry.Reset()
+	f.pairs = make(map[string]store.KeyValue, len(result.KVs))
+	for _, kv := range result.KVs {
+		f.pairs[kv.Key] = kv
+	}
+	f.changed(result.Revision, f.sorted())
+	f.setFresh(true, nil)
+	revision := result.Revision
+	for {
+		events, next, again, err := f.poll(ctx, revision)
+		if err != nil || again {
+			return err
+		}
+		revision = next
+		if len(events) == 0 {
+			continue
+		}
+		f.apply(events)
+		f.changed(revision, f.sorted())
+		sleep(ctx, coalesce)
+	}
+}
+
+// poll waits for changes. A refresh ends it early, and again is set.
+func (f *follower) poll(ctx context.Context, after store.Revision) (events []store.Event, next store.Revision, again bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	refreshed := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.refresh:
+			refreshed <- true
+			cancel()
+		case <-done:
+			refreshed <- false
+		}
+	}()
+	events, next, err = f.store.Poll(ctx, f.prefix, after, f.wait)
+	close(done)
+	if <-refreshed {
+		return nil, 0, true, nil
+	}
+	return events, next, false, err
+}
+
+func (f *follower) apply(events []store.Event) {
+	for _, e := range events {
+		if e.Deleted {
+			delete(f.pairs, e.KV.Key)
+			continue
+		}
+		f.pairs[e.KV.Key] = e.KV
+	}
+}
+
+func (f *follower) sorted() []store.KeyValue {
+	out := make([]store.KeyValue, 0, len(f.pairs))
+	for _, key := range slices.Sorted(maps.Keys(f.pairs)) {
+		out = append(out, f.pairs[key])
+	}
+	return out
+}
+
+// sleep waits for the duration or the context's end.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/direct/node.go
@@ -0,0 +1,186 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/obs"
+	"amaranthwheel.example/amaranthwheel/internal/settings"
+	"amaranthwheel.example/amaranthwheel/internal/steerwire"
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+// headerTimeout bounds the reading of an HTTP request's header.
+const headerTimeout = 5 * time.Second
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// Platform is what the daemons need of the place where they run.
+type Platform struct {
+	Segments Segments
+	Store    store.Polled
+	// ReadyPath is where routers ask whether the node takes traffic.
+	ReadyPath string
+	// OperatorPrefix starts the keys that operators write, AgentPrefix those of
+	// the agents' records.
+	OperatorPrefix, AgentPrefix string
+	// OperatorState decodes what operators wrote.
+	OperatorState func(store.Revision, []store.KeyValue) (steering.OperatorState, []error)
+}
+
+// nodeCounters counts what the sockets of a node carry.
+type nodeCounters struct {
+	SegmentsMalformed, MessagesMalformed, SendFailed, ReportsSuppressed atomic.Uint64
+}
+
+// node is what balancers and agents have in common.
+type node struct {
+	settings *settings.Direct
+	platform Platform
+	logger   log.Logger
+	metrics  tally.Scope
+	counters nodeCounters
+	reports  reportLimiter
+
+	peer    *net.UDPConn
+	servers []*http.Server
+	out     []byte // a datagram that is being coded
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+func newNode(s *settings.Direct, p Platform, part string, logs *obs.Logs, metrics tally.Scope) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &node{
+		settings: s, platform: p, logger: logs.Part(part), metrics: metrics,
+		out: make([]byte, 0, maxDatagram), ctx: ctx, cancel: cancel,
+	}
+}
+
+// serve answers HTTP requests on an address.
+func (n *node) serve(address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return fmt.Errorf("listen for HTTP on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	n.servers = append(n.servers, server)
+	n.group.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// readyHandler answers 200 while the node takes traffic and 503 otherwise.
+func readyHandler(path string, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// every runs a function at each interval until the node stops.
+func (n *node) every(interval time.Duration, run func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			run()
+		}
+	}
+}
+
+// sendMessage codes a message and sends it to a node.
+func (n *node) sendMessage(to netip.AddrPort, m *steering.Message) {
+	n.out = steerwire.Append(n.out[:0], m)
+	n.send(n.peer, n.out, to)
+}
+
+// send sends a datagram; one that can't be sent counts as lost on the way.
+func (n *node) send(conn *net.UDPConn, raw []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(raw, to); err != nil {
+		n.counters.SendFailed.Add(1)
+	}
+}
+
+// decode decodes a message from another node.
+func (n *node) decode(raw []byte) (steering.Message, bool) {
+	m, err := steerwire.Decode(raw, n.platform.Segments.FromCaller)
+	if err != nil {
+		n.counters.MessagesMalformed.Add(1)
+		return m, false
+	}
+	return m, true
+}
+
+// answerPort is the port at which callers receive answers.
+func (n *node) answerTo(f steering.Flow) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(f.Caller.IP), n.settings.Segments.Port())
+}
+
+// report writes a log line about a decision, unless there are too many.
+func (n *node) report(now time.Time, r *steering.Report) {
+	suppressed, ok := n.reports.take(now, r.Text)
+	if !ok {
+		n.counters.ReportsSuppressed.Add(1)
+		return
+	}
+	fields := []any{"msg", r.Text}
+	if r.Flow != (steering.Flow{}) {
+		fields = append(fields, "flow", r.Flow)
+	}
+	if r.Node != "" {
+		fields = append(fields, "node", r.Node)
+	}
+	if r.Why != "" {
+		fields = append(fields, "why", r.Why)
+	}
+	if r.Age != 0 {
+		fields = append(fields, "age", r.Age.Round(time.Millisecond))
+	}
+	if r.Version != 0 {
+		fields = append(fields, "version", r.Version)
+	}
+	if suppressed > 0 {
+		fields = append(fields, "suppressed", suppressed)
+	}
+	_ = level.Info(n.logger).Log(fields...)
+}
+
+func (n *node) info(text string, fields ...any) {
+	_ = level.Info(n.logger).Log(append([]any{"msg", text}, fields...)...)
+}
+
+func (n *node) warn(text string, err error) {
+	_ = level.Warn(n.logger).Log("msg", text, "err", err)
+}
+
+// close ends the goroutines and closes what is open.
+func (n *node) close() {
+	n.cancel()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	if n.peer != nil {
+		_ = n.peer.Close()
+	}
+	n.group.Wait()
+}
--- /dev/null
+++ b/internal/direct/records.go
@@ -0,0 +1,53 @@
+package direct
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+// recordDocument is an agent's record as it stands in the store.
+type recordDocument struct {
+	Node     string         `json:"node"`
+	Domain   string         `json:"domain"`
+	Service  string         `json:"service"`
+	Peer     netip.AddrPort `json:"peer"`
+	Lifetime int64          `json:"lifetime"`
+}
+
+var errIncomplete = errors.New("node or peer is missing")
+
+func encodeRecord(r *steering.AgentRecord) ([]byte, error) {
+	return json.Marshal(recordDocument(*r))
+}
+
+func decodeRecord(value []byte) (steering.AgentRecord, error) {
+	var doc recordDocument
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return steering.AgentRecord{}, err
+	}
+	if doc.Node == "" || !doc.Peer.IsValid() {
+		return steering.AgentRecord{}, errIncomplete
+	}
+	return steering.AgentRecord(doc), nil
+}
+
+// decodeRecords decodes the agents' records. Those that can't be read are left
+// out and returned as errors.
+func decodeRecords(items []store.KeyValue) ([]steering.AgentRecord, []error) {
+	records := make([]steering.AgentRecord, 0, len(items))
+	var errs []error
+	for _, kv := range items {
+		r, err := decodeRecord(kv.Value)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("record %s: %w", kv.Key, err))
+			continue
+		}
+		records = append(records, r)
+	}
+	return records, errs
+}
--- /dev/null
+++ b/internal/steerwire/steerwire.go
@@ -0,0 +1,143 @@
+// Package steerwire codes the datagrams between balancers and agents of package
+// steering: a fixed header by kind, and the caller's segment behind it.
+package steerwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+)
+
+// version is the first byte of every datagram. A node drops other versions.
+const version = 0xA1
+
+// headerSize is the length of version, kind, verdict, refusal and service.
+const headerSize = 8
+
+// MaxHeader is the length that a segment grows by, in bytes.
+const MaxHeader = headerSize
+
+var (
+	errShort   = errors.New("datagram is too short")
+	errVersion = errors.New("datagram has another version")
+	errKind    = errors.New("datagram has an unknown kind")
+)
+
+// DecodeSegment decodes a caller's segment.
+type DecodeSegment func(raw []byte) (steering.Segment, error)
+
+// Append appends the coded message.
+func Append(buf []byte, m *steering.Message) []byte {
+	buf = append(buf, version, byte(m.Kind), byte(m.Verdict), byte(m.Refusal))
+	buf = binary.BigEndian.AppendUint32(buf, uint32(m.Service))
+	switch m.Kind {
+	case steering.MessageQuery, steering.MessageAnswer, steering.MessageHeld:
+		buf = appendFlow(buf, m.Flow)
+		return binary.BigEndian.AppendUint32(buf, m.Ack)
+	case steering.MessagePing:
+		return appendLimits(buf, &m.Limits)
+	case steering.MessagePong:
+		return appendStatus(buf, &m.Status)
+	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
+		steering.MessageRefused, steering.MessageMissed:
+	}
+	return append(buf, m.Segment.Raw...)
+}
+
+func appendFlow(buf []byte, f steering.Flow) []byte {
+	for _, e := range []steering.Endpoint{f.Caller, f.Address} {
+		buf = append(buf, e.IP[:]...)
+		buf = binary.BigEndian.AppendUint16(buf, e.Port)
+	}
+	return buf
+}
+
+func appendLimits(buf []byte, l *steering.Limits) []byte {
+	buf = binary.BigEndian.AppendUint64(buf, l.Revision)
+	out := byte(0)
+	if l.DomainOut {
+		out = 1
+	}
+	buf = append(buf, out)
+	return binary.BigEndian.AppendUint32(buf, math.Float32bits(l.ColdPerSecond))
+}
+
+func appendStatus(buf []byte, s *steering.Status) []byte {
+	buf = binary.BigEndian.AppendUint64(buf, s.Epoch)
+	buf = binary.BigEndian.AppendUint32(buf, uint32(s.Service))
+	buf = append(buf, byte(s.Refusal))
+	buf = binary.BigEndian.AppendUint16(buf, s.Slots)
+	buf = binary.BigEndian.AppendUint16(buf, s.Busy)
+	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
+	return binary.BigEndian.AppendUint64(buf, s.Revision)
+}
+
+// Lengths of what follows the header, in bytes.
+const (
+	flowSize   = 16
+	limitsSize = 13
+	statusSize = 29
+)
+
+// Decode decodes a datagram. The message keeps raw.
+func Decode(raw []byte, decode DecodeSegment) (steering.Message, error) {
+	var m steering.Message
+	if len(raw) < headerSize {
+		return m, errShort
+	}
+	if raw[0] != version {
+		return m, errVersion
+	}
+	m.Kind = steering.MessageKind(raw[1])
+	m.Verdict = steering.Verdict(raw[2])
+	m.Refusal = steering.Refusal(raw[3])
+	m.Service = steering.ServiceID(binary.BigEndian.Uint32(raw[4:]))
+	err := decodeBody(&m, raw[headerSize:], decode)
+	return m, err
+}
+
+func decodeBody(m *steering.Message, body []byte, decode DecodeSegment) error {
+	var err error
+	switch m.Kind {
+	case steering.MessageQuery, steering.MessageAnswer, steering.MessageHeld:
+		if len(body) < flowSize {
+			return errShort
+		}
+		m.Flow = steering.Flow{Caller: endpoint(body), Address: endpoint(body[6:])}
+		m.Ack = binary.BigEndian.Uint32(body[12:])
+	case steering.MessagePing:
+		if len(body) < limitsSize {
+			return errShort
+		}
+		m.Limits = steering.Limits{
+			Revision:      binary.BigEndian.Uint64(body),
+			DomainOut:     body[8] != 0,
+			ColdPerSecond: math.Float32frombits(binary.BigEndian.Uint32(body[9:])),
+		}
+	case steering.MessagePong:
+		if len(body) < statusSize {
+			return errShort
+		}
+		m.Status = steering.Status{
+			Epoch:    binary.BigEndian.Uint64(body),
+			Service:  steering.ServiceID(binary.BigEndian.Uint32(body[8:])),
+			Refusal:  steering.Refusal(body[12]),
+			Slots:    binary.BigEndian.Uint16(body[13:]),
+			Busy:     binary.BigEndian.Uint16(body[15:]),
+			Flows:    binary.BigEndian.Uint32(body[17:]),
+			Revision: binary.BigEndian.Uint64(body[21:]),
+		}
+	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
+		steering.MessageRefused, steering.MessageMissed:
+		m.Segment, err = decode(body)
+	default:
+		return errKind
+	}
+	return err
+}
+
+func endpoint(b []byte) steering.Endpoint {
+	return steering.Endpoint{IP: [4]byte(b), Port: binary.BigEndian.Uint16(b[4:])}
+}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -17,6 +17,9 @@
 	ErrRejected = errors.New("store rejected the request")
 	// ErrLeaseLapsed reports a lease that has ended.
 	ErrLeaseLapsed = errors.New("store lease has lapsed")
+	// ErrHistoryGone reports a watch from a revision that the store no longer
+	// remembers: the keys must be read anew.
+	ErrHistoryGone = errors.New("store history is gone")
 	// ErrWatchEnded reports a watch that was dropped.
 	ErrWatchEnded = errors.New("store watch has ended")
 )
