Queue opening flows, seek silent agents, keep searches until all agents answered

Cause: after a power loss a balancer pinged its agents once before they had started and again 500 ms later; opening segments were dropped meanwhile, and lost flows were reset only at the caller's next copy.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -125,6 +125,11 @@
 	a.deliver(from, s)
 }
 
+// maxWorkPerSlot bounds the requests in work and waiting at a target, per slot,
+// beyond which it gets no new flows. Targets queue a few requests a slot before
+// they shed.
+const maxWorkPerSlot = 4
+
 // refusal returns why the agent does not open a flow of the service now.
 func (a *Agent) refusal(now time.Time, service ServiceID) Refusal {
 	t := &a.target
@@ -137,6 +142,8 @@
 		return RefusedService
 	case a.limits.DomainOut:
 		return RefusedOut
+	case a.flows.busy >= t.slots*maxWorkPerSlot:
+		return RefusedBusy
 	case a.flows.silent(now):
 		return RefusedSilent
 	case t.cold(now) && !a.cold.allows(now, a.limits.ColdPerSecond):
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -22,8 +22,8 @@
 
 // BalancerCounters counts decisions since the start.
 type BalancerCounters struct {
-	Opened, OpenNoAgent, Refused, Carried, Guessed, Missed, Searched, Tried atomic.Uint64
-	ResetNoRoute, ResetLost, Unknown, CacheFull                             atomic.Uint64
+	Opened, Queued, OpenExpired, Refused, Carried, Guessed, Missed, Searched, Tried atomic.Uint64
+	ResetNoRoute, ResetLost, Unknown, CacheFull                                     atomic.Uint64
 }
 
 // Balancer decides where the segments of callers go.
@@ -36,6 +36,7 @@
 	holders map[Flow]*holding
 
 	searches     []Flow
+	queue        []Flow
 	storeFresh   bool
 	membersSince time.Time
 	lastSweep    time.Time
@@ -110,7 +111,8 @@
 
 func (b *Balancer) tick(now time.Time) {
 	b.pingDue(now)
-	b.concludeDue(now)
+	b.reviewSearches(now)
+	b.placeQueued(now)
 	b.forgetMembers(now)
 	if now.Sub(b.lastSweep) > sweepInterval {
 		b.sweep(now, holdingLifetime)
--- a/internal/core/steering/cold.go
+++ b/internal/core/steering/cold.go
@@ -5,9 +5,6 @@
 const (
 	// coldWindow is the span in which openings at a cold target are counted.
 	coldWindow = time.Second
-	// unknownColdRate is the openings a second at a cold target while no
-	// balancer has told what its service bears.
-	unknownColdRate = 2
 	// maxColdOpenings bounds the memory of the limiter.
 	maxColdOpenings = 1024
 )
@@ -18,14 +15,14 @@
 	openings []time.Time
 }
 
-// allows reports whether another opening keeps the rate.
+// allows reports whether another opening keeps the rate. A rate of 0 means that
+// operators declared none.
 func (l *coldLimiter) allows(now time.Time, perSecond float32) bool {
-	l.trim(now)
-	limit := int(perSecond)
-	if limit < unknownColdRate {
-		limit = unknownColdRate
+	if perSecond <= 0 {
+		return true
 	}
-	return len(l.openings) < min(limit, maxColdOpenings)
+	l.trim(now)
+	return len(l.openings) < min(max(int(perSecond), 1), maxColdOpenings)
 }
 
 // take notes an opening.
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -73,7 +73,10 @@
 // begin notes an opening segment.
 func (s *flowSection) begin(now time.Time, f Flow) {
 	s.drop(f)
-	s.byFlow[f] = &flow{last: now}
+	opened := &flow{last: now}
+	s.byFlow[f] = opened
+	// A caller opens a flow to send a request.
+	s.setBusy(opened, true)
 	delete(s.ruled, f)
 	if s.unanswered.IsZero() {
 		s.unanswered = now
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -31,6 +31,7 @@
 	stageSearching       // all agents were asked
 	stageTrying          // a segment was sent to agent, which is unsure
 	stageLost            // no agent holds the flow
+	stageQueued          // an opening segment waits for an agent
 )
 
 // holding is what a balancer knows of a flow.
@@ -45,6 +46,9 @@
 	nOffered int
 	search   *search
 	tries    tryBudget
+	// queued is the opening segment that waits since queuedAt.
+	queued   Segment
+	queuedAt time.Time
 }
 
 func (h *holding) offeredTo(m *member) bool {
@@ -108,6 +112,8 @@
 	case h.stage == stageOpening && s.Ack > 0:
 		b.offerNext(now, h, s, r)
 		return
+	case h.stage == stageQueued && s.Ack > 0:
+		return
 	}
 	*h = holding{lastSeen: now}
 	b.offerNext(now, h, s, r)
@@ -136,9 +142,7 @@
 		m = b.place(now, h, service, hash)
 	}
 	if m == nil {
-		b.Counters.OpenNoAgent.Add(1)
-		b.report(Report{Text: "No agent opens the flow.", Flow: s.Flow, Why: r.Name, Version: b.config.state.Configuration.Version})
-		delete(b.holders, s.Flow)
+		b.enqueue(now, h, s, r)
 		return
 	}
 	h.offer(m)
@@ -182,7 +186,7 @@
 		h.search.keep(s)
 	case stageLost:
 		b.resetLost(now, h, s)
-	case stageNew:
+	case stageNew, stageQueued:
 		h.nOffered = 0
 		b.guess(now, h, s)
 	}
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -11,6 +11,12 @@
 	// pingInterval is how often a balancer asks each agent for its status. A
 	// shorter one finds dead agents sooner and costs messages.
 	pingInterval = 500 * time.Millisecond
+	// seekInterval is how often an agent is asked that has not answered lately:
+	// after a loss of power, service begins with its first answer.
+	seekInterval = 100 * time.Millisecond
+	// seekTime is how long an agent is sought before it is asked at
+	// pingInterval again.
+	seekTime = 5 * time.Second
 	// suspectAfter is the silence after which an agent gets no new flows: two
 	// pings and the answer's way.
 	suspectAfter = 1200 * time.Millisecond
@@ -110,6 +116,7 @@
 		if !m.listed && now.Sub(m.lastHeard()) > goneAfter {
 			delete(s.byPeer, peer)
 			s.index()
+			b.skipMember(m)
 			b.report(Report{Text: "Agent is forgotten.", Node: m.record.Node, Age: now.Sub(m.lastHeard())})
 		}
 	}
@@ -135,10 +142,18 @@
 	b.send(m, Message{Kind: MessagePing, Limits: b.config.limits(m)})
 }
 
+// pingEvery returns how often the agent is asked now.
+func (m *member) pingEvery(now time.Time) time.Duration {
+	if silence := now.Sub(m.lastHeard()); !m.live(now) && silence < seekTime {
+		return seekInterval
+	}
+	return pingInterval
+}
+
 // pingDue asks the agents whose last ping is old enough.
 func (b *Balancer) pingDue(now time.Time) {
 	for _, m := range b.members.byPeer {
-		if now.Sub(m.lastPing) >= pingInterval {
+		if now.Sub(m.lastPing) >= m.pingEvery(now) {
 			b.ping(now, m)
 		}
 	}
@@ -146,7 +161,8 @@
 
 // handlePong takes an agent's status.
 func (b *Balancer) handlePong(now time.Time, m *member, s Status) {
-	if !m.live(now) {
+	returned := !m.live(now)
+	if returned {
 		b.report(Report{Text: "Agent answers.", Node: m.record.Node, Why: s.Refusal.String(), Age: now.Sub(m.lastHeard())})
 	} else if m.status.Refusal != s.Refusal {
 		b.report(Report{Text: "Agent changed.", Node: m.record.Node, Why: s.Refusal.String()})
@@ -161,6 +177,10 @@
 	if s.Revision > b.config.state.Revision {
 		b.refresh(now)
 	}
+	if returned {
+		b.askMember(now, m)
+	}
+	b.placeQueued(now)
 }
 
 // refresh asks for a read of the store.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -69,13 +69,14 @@
 	RefusedService                 // the target serves another service
 	RefusedFull                    // the target returned the segment
 	RefusedSilent                  // the target has not answered lately
+	RefusedBusy                    // the target has all the work that it can queue
 )
 
 // String returns the refusal's name in log lines.
 func (r Refusal) String() string {
 	return [...]string{
-		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent",
-	}[min(r, RefusedSilent)]
+		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent", "busy",
+	}[min(r, RefusedBusy)]
 }
 
 // ServiceID identifies a service in messages: a hash of its name.
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -40,7 +40,7 @@
 		return tierOpen
 	case RefusedCold:
 		return tierCold
-	case RefusedNoTarget, RefusedDraining, RefusedOut, RefusedService, RefusedFull, RefusedSilent:
+	case RefusedBusy, RefusedNoTarget, RefusedDraining, RefusedOut, RefusedService, RefusedFull, RefusedSilent:
 	}
 	return tierNone
 }
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -9,9 +9,14 @@
 	// maxGuesses bounds the agents that a segment is sent to before all agents
 	// are asked.
 	maxGuesses = 3
-	// searchTimeout bounds the wait for answers: several round trips between
-	// failure domains.
+	// searchTimeout is how long answers are waited for before an unsure agent
+	// tries: several round trips between failure domains.
 	searchTimeout = 60 * time.Millisecond
+	// searchLifetime is how long a search goes on while its caller is silent:
+	// the longest pause between a caller's copies, and room.
+	searchLifetime = 2 * time.Second
+	// askAgainAfter is when an unanswered question is repeated.
+	askAgainAfter = 200 * time.Millisecond
 	// maxKept bounds the segments kept during a search; callers repeat others.
 	maxKept = 2
 	// maxTries bounds the targets that may be handed a segment of a flow that
@@ -20,7 +25,7 @@
 	tryWindow = 2500 * time.Millisecond
 	// settleTime is how long a balancer has to know its agents before it
 	// declares a flow lost.
-	settleTime = time.Second
+	settleTime = 300 * time.Millisecond
 )
 
 // tryBudget bounds tries.
@@ -40,21 +45,50 @@
 	return true
 }
 
-// search is the question to all agents who holds a flow.
+// question is what one agent was asked and has answered.
+type question struct {
+	member   *member
+	askedAt  time.Time // zero if not asked yet
+	answered bool
+	verdict  Verdict
+}
+
+// search is the question to all agents who holds a flow. Each agent is asked
+// once it is live; the flow is lost once all have ruled it out.
 type search struct {
-	deadline time.Time
-	asked    []*member
-	verdicts []Verdict
-	answered int
-	kept     []Segment
+	began     time.Time
+	ack       uint32
+	questions []question
+	kept      []Segment
 }
 
-// keep keeps a segment until the search ends.
+// keep keeps a segment until the search ends; the newest ones are kept.
 func (q *search) keep(s Segment) {
-	if len(q.kept) < maxKept {
-		s.Raw = slices.Clone(s.Raw)
-		q.kept = append(q.kept, s)
+	s.Raw = slices.Clone(s.Raw)
+	if len(q.kept) == maxKept {
+		q.kept = append(q.kept[:0], q.kept[1:]...)
+	}
+	q.kept = append(q.kept, s)
+}
+
+func (q *search) of(m *member) *question {
+	for i := range q.questions {
+		if q.questions[i].member == m {
+			return &q.questions[i]
+		}
+	}
+	return nil
+}
+
+// ruledOut reports whether all agents have answered that they do not hold the
+// flow.
+func (q *search) ruledOut() bool {
+	for i := range q.questions {
+		if !q.questions[i].answered || q.questions[i].verdict != VerdictAbsent {
+			return false
+		}
 	}
+	return true
 }
 
 // guess sends a segment to the likeliest holder that was not tried, or asks
@@ -100,20 +134,54 @@
 // ask asks all agents who holds a flow.
 func (b *Balancer) ask(now time.Time, h *holding, s Segment) {
 	b.Counters.Searched.Add(1)
-	q := &search{deadline: now.Add(searchTimeout)}
+	q := &search{began: now}
 	q.keep(s)
-	var ack uint32
 	if s.Flags.Has(FlagAck) {
-		ack = s.Ack
+		q.ack = s.Ack
 	}
-	for _, m := range b.members.byPeer {
-		q.asked = append(q.asked, m)
-		b.send(m, Message{Kind: MessageQuery, Flow: s.Flow, Ack: ack})
-	}
-	q.verdicts = make([]Verdict, len(q.asked))
 	h.search = q
 	h.enter(stageSearching, nil, now)
 	b.searches = append(b.searches, s.Flow)
+	for _, m := range b.members.byPeer {
+		q.questions = append(q.questions, question{member: m})
+		if m.live(now) {
+			b.askOne(now, &q.questions[len(q.questions)-1], s.Flow, q.ack)
+		}
+	}
+}
+
+func (b *Balancer) askOne(now time.Time, q *question, f Flow, ack uint32) {
+	q.askedAt = now
+	b.send(q.member, Message{Kind: MessageQuery, Flow: f, Ack: ack})
+}
+
+// askMember asks an agent that has come back about all flows that are searched.
+func (b *Balancer) askMember(now time.Time, m *member) {
+	for _, f := range b.searches {
+		h := b.holders[f]
+		if h == nil || h.stage != stageSearching {
+			continue
+		}
+		q := h.search.of(m)
+		if q == nil {
+			h.search.questions = append(h.search.questions, question{member: m})
+			q = h.search.of(m)
+		}
+		if !q.answered {
+			b.askOne(now, q, f, h.search.ack)
+		}
+	}
+}
+
+// skipMember takes an agent that is gone out of all searches.
+func (b *Balancer) skipMember(m *member) {
+	for _, f := range b.searches {
+		h := b.holders[f]
+		if h == nil || h.stage != stageSearching {
+			continue
+		}
+		h.search.questions = slices.DeleteFunc(h.search.questions, func(q question) bool { return q.member == m })
+	}
 }
 
 // handleAnswer notes what an agent knows of a flow.
@@ -126,72 +194,81 @@
 		b.handleHeld(now, m, msg.Flow)
 		return
 	}
-	q := h.search
-	i := slices.Index(q.asked, m)
-	if i < 0 || q.verdicts[i] != VerdictUnsure {
+	q := h.search.of(m)
+	if q == nil {
 		return
 	}
-	q.verdicts[i] = msg.Verdict
-	q.answered++
-	if q.answered == len(q.asked) {
-		b.conclude(now, h, msg.Flow)
+	q.answered, q.verdict = true, msg.Verdict
+	b.declareLost(now, h, msg.Flow)
+}
+
+// declareLost resets a flow that all agents have ruled out.
+func (b *Balancer) declareLost(now time.Time, h *holding, f Flow) {
+	if !h.search.ruledOut() || !b.settled(now) {
+		return
 	}
+	s := h.search.kept[len(h.search.kept)-1]
+	h.search = nil
+	h.nOffered = 0
+	h.enter(stageLost, nil, now)
+	b.resetLost(now, h, s)
 }
 
-// concludeDue ends the searches whose time is up.
-func (b *Balancer) concludeDue(now time.Time) {
-	kept := b.searches[:0]
-	for _, f := range b.searches {
+// reviewSearches takes the searches on.
+func (b *Balancer) reviewSearches(now time.Time) {
+	searches := b.searches
+	b.searches = nil
+	for _, f := range searches {
 		h := b.holders[f]
 		if h == nil || h.stage != stageSearching {
 			continue
 		}
-		if now.Before(h.search.deadline) {
-			kept = append(kept, f)
-			continue
+		b.review(now, h, f)
+		if h.stage == stageSearching {
+			b.searches = append(b.searches, f)
 		}
-		b.conclude(now, h, f)
 	}
-	b.searches = kept
 }
 
-// conclude ends a search that found no holder: the likeliest agent that is
-// unsure tries, or the flow is lost if all have ruled it out.
-func (b *Balancer) conclude(now time.Time, h *holding, f Flow) {
+// review goes on with a search: unanswered questions are repeated, the
+// likeliest unsure agent tries, and a search without a caller ends.
+func (b *Balancer) review(now time.Time, h *holding, f Flow) {
 	q := h.search
-	h.search = nil
-	h.nOffered = 0
-	if len(q.kept) == 0 {
-		h.enter(stageNew, nil, now)
+	b.declareLost(now, h, f)
+	if h.stage != stageSearching || now.Sub(q.began) < searchTimeout {
 		return
 	}
-	s := q.kept[len(q.kept)-1]
-	if m := b.unsure(now, q, f); m != nil {
-		if !h.tries.take(now) {
-			h.enter(stageNew, nil, now)
-			return
-		}
+	if m := b.unsure(now, q, f); m != nil && h.tries.take(now) {
 		b.Counters.Tried.Add(1)
+		s := q.kept[len(q.kept)-1]
+		h.search = nil
+		h.nOffered = 0
 		h.enter(stageTrying, m, now)
 		b.sendSegment(m, MessageTry, s, 0)
 		return
 	}
-	h.enter(stageNew, nil, now)
-	if q.answered == len(q.asked) && b.settled(now) {
-		h.enter(stageLost, nil, now)
-		b.resetLost(now, h, s)
+	if now.Sub(h.lastSeen) > searchLifetime {
+		b.Counters.Unknown.Add(1)
+		b.report(Report{Text: "No agent is known to hold the flow.", Flow: f, Why: "not all agents answered"})
+		h.search = nil
+		h.enter(stageNew, nil, now)
 		return
 	}
-	b.Counters.Unknown.Add(1)
-	b.report(Report{Text: "No agent is known to hold the flow.", Flow: f, Why: "not all agents answered"})
+	for i := range q.questions {
+		question := &q.questions[i]
+		if !question.answered && question.member.live(now) && now.Sub(question.askedAt) > askAgainAfter {
+			b.askOne(now, question, f, q.ack)
+		}
+	}
 }
 
 // unsure returns the highest ranked live agent that answered that it is unsure.
 func (b *Balancer) unsure(now time.Time, q *search, f Flow) *member {
 	hash := f.Hash()
 	var local, remote pair
-	for i, m := range q.asked {
-		if q.verdicts[i] != VerdictUnsure || !m.live(now) {
+	for i := range q.questions {
+		m := q.questions[i].member
+		if !q.questions[i].answered || q.questions[i].verdict != VerdictUnsure || !m.live(now) {
 			continue
 		}
 		if m.local {
@@ -242,7 +319,7 @@
 			// Another agent was found meanwhile; the caller repeats the segment.
 			return
 		}
-	case stageNew:
+	case stageNew, stageQueued:
 	}
 	if h.stage != stageGuessing {
 		h.nOffered = 0
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -64,12 +64,12 @@
 // newPlatform returns the platform that the daemons run on.
 func newPlatform(s *settings.Direct, metrics tally.Scope) direct.Platform {
 	return direct.Platform{
-		Segments:       platform.Segments{},
-		Store:          platform.NewStore(s.Store.Address, s.Store.Timeout, store.NewTallyCounter(metrics)),
-		ReadyPath:      platform.ReadyPath,
-		OperatorPrefix: platform.OperatorPrefix,
-		AgentPrefix:    platform.AgentPrefix,
-		OperatorState:  platform.OperatorState,
+		Segments:      platform.Segments{},
+		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout, store.NewTallyCounter(metrics)),
+		ReadyPath:     platform.ReadyPath,
+		AgentPrefix:   platform.AgentPrefix,
+		FollowPrefix:  platform.FollowPrefix,
+		OperatorState: platform.OperatorState,
 	}
 }
 
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -39,7 +39,6 @@
 	// lastSegment is when a caller's segment came last.
 	lastSegment time.Time
 	refresh     chan struct{}
-	fresh       [2]bool // of operators' state and agents
 }
 
 // NewBalancer returns a balancer that has not started.
@@ -66,8 +65,11 @@
 	if err := b.serve(b.settings.Metrics, metrics); err != nil {
 		return err
 	}
-	b.follow(0, b.platform.OperatorPrefix, b.refresh, b.loadOperators)
-	b.follow(1, b.platform.AgentPrefix, nil, b.loadAgents)
+	f := &follower{
+		store: b.platform.Store, prefix: b.platform.FollowPrefix, wait: b.settings.Store.Wait, refresh: b.refresh,
+		changed: b.load, fresh: b.setFresh,
+	}
+	b.group.Go(func() { f.run(b.ctx) })
 	b.group.Go(func() { readAll(b.segments, b.fromCaller) })
 	b.group.Go(func() { readAll(b.peer, b.fromPeer) })
 	b.group.Go(func() { b.every(steering.TickInterval, func() { b.step(&steering.Tick{}) }) })
@@ -76,41 +78,26 @@
 	return nil
 }
 
-// follow keeps a part of the store up to date in the core.
-func (b *Balancer) follow(index int, prefix string, refresh chan struct{}, changed func(store.Revision, []store.KeyValue)) {
-	f := &follower{
-		store: b.platform.Store, prefix: prefix, wait: b.settings.Store.Wait, refresh: refresh, changed: changed,
-		fresh: func(up bool, err error) { b.setFresh(index, prefix, up, err) },
-	}
-	b.group.Go(func() { f.run(b.ctx) })
-}
-
-func (b *Balancer) setFresh(index int, prefix string, up bool, err error) {
+func (b *Balancer) setFresh(up bool, err error) {
 	if up {
-		b.info("Store is followed.", "prefix", prefix)
+		b.info("Store is followed.")
 	} else {
 		b.warn("Store is lost.", err)
 	}
-	b.mu.Lock()
-	b.fresh[index] = up
-	all := b.fresh[0] && b.fresh[1]
-	b.mu.Unlock()
-	b.step(&steering.StoreStateChanged{Fresh: all})
+	b.step(&steering.StoreStateChanged{Fresh: up})
 }
 
-func (b *Balancer) loadOperators(revision store.Revision, items []store.KeyValue) {
+// load takes what the store holds.
+func (b *Balancer) load(revision store.Revision, items []store.KeyValue) {
 	state, errs := b.platform.OperatorState(revision, items)
 	for _, err := range errs {
 		b.warn("An entry of the operators can't be read.", err)
 	}
-	b.step(&steering.ConfigurationLoaded{State: state})
-}
-
-func (b *Balancer) loadAgents(_ store.Revision, items []store.KeyValue) {
-	records, errs := decodeRecords(items)
+	records, errs := decodeRecords(b.platform.AgentPrefix, items)
 	for _, err := range errs {
 		b.warn("An agent's record can't be read.", err)
 	}
+	b.step(&steering.ConfigurationLoaded{State: state})
 	b.step(&steering.MembersLoaded{Records: records})
 }
 
@@ -194,7 +181,8 @@
 	c := &b.core.Counters
 	return process.Counters{
 		"direct_opened":             &c.Opened,
-		"direct_open_no_agent":      &c.OpenNoAgent,
+		"direct_queued":             &c.Queued,
+		"direct_open_expired":       &c.OpenExpired,
 		"direct_open_refused":       &c.Refused,
 		"direct_carried":            &c.Carried,
 		"direct_guessed":            &c.Guessed,
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -33,9 +33,9 @@
 	Store    store.Polled
 	// ReadyPath is where routers ask whether the node takes traffic.
 	ReadyPath string
-	// OperatorPrefix starts the keys that operators write, AgentPrefix those of
-	// the agents' records.
-	OperatorPrefix, AgentPrefix string
+	// AgentPrefix starts the keys of the agents' records, FollowPrefix these and
+	// those that operators write.
+	AgentPrefix, FollowPrefix string
 	// OperatorState decodes what operators wrote.
 	OperatorState func(store.Revision, []store.KeyValue) (steering.OperatorState, []error)
 }
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/store"
@@ -36,12 +37,15 @@
 	return steering.AgentRecord(doc), nil
 }
 
-// decodeRecords decodes the agents' records. Those that can't be read are left
-// out and returned as errors.
-func decodeRecords(items []store.KeyValue) ([]steering.AgentRecord, []error) {
+// decodeRecords decodes the agents' records, whose keys start with the prefix.
+// Those that can't be read are left out and returned as errors.
+func decodeRecords(prefix string, items []store.KeyValue) ([]steering.AgentRecord, []error) {
 	records := make([]steering.AgentRecord, 0, len(items))
 	var errs []error
 	for _, kv := range items {
+		if !strings.HasPrefix(kv.Key, prefix) {
+			continue
+		}
 		r, err := decodeRecord(kv.Value)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("record %s: %w", kv.Key, err))
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -15,8 +15,9 @@
 	// Timeout bounds one call. Default 1500ms. A shorter one repeats sooner; a
 	// longer one tolerates a slow store.
 	Timeout time.Duration `toml:"timeout"`
-	// Wait is how long a watch waits for changes. Default 20s. A shorter one
-	// costs calls; a longer one finds a watch that was lost later.
+	// Wait is how long a watch waits for changes. Default 1500ms: a watch that
+	// was cut silently is found within the time in which a configuration has to
+	// be in force. A shorter one costs calls.
 	Wait time.Duration `toml:"wait"`
 	// Lease is the life of an agent's record after its last renewal. Default
 	// 60s. A shorter one forgets dead agents sooner and costs calls.
@@ -75,7 +76,7 @@
 	maxDirectStop     = 5 * time.Minute
 
 	defaultPolledTimeout = 1500 * time.Millisecond
-	defaultPolledWait    = 20 * time.Second
+	defaultPolledWait    = 1500 * time.Millisecond
 	minPolledWait        = 100 * time.Millisecond
 	maxPolledWait        = 30 * time.Second
 	defaultRecordLease   = time.Minute
