Poll the store less the more balancers there are

Each balancer's short poll only finds a watch that the store cut silently; agents tell the others of a newer revision at once.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -39,6 +39,8 @@
 	balancers map[netip.AddrPort]time.Time
 	// told is the refusal in the last status that was sent.
 	told Refusal
+	// toldRevision is the revision in it.
+	toldRevision uint64
 	// stopping is set by a planned stop.
 	stopping bool
 }
@@ -74,6 +76,7 @@
 	case *Tick:
 		a.flows.sweep(now)
 		a.watchTarget(now)
+		a.forgetBalancers(now)
 	case *SavedFlows:
 		a.restore(now, e)
 	}
@@ -84,18 +87,25 @@
 // balancerLifetime is how long a balancer that does not ask is told of changes.
 const balancerLifetime = 5 * time.Second
 
-// tellChange tells the balancers when the agent begins or ceases to open flows.
-func (a *Agent) tellChange(now time.Time) {
-	why := a.refusal(now, a.target.service)
-	if why == a.told || why == RefusedCold || why == RefusedSilent {
-		return
-	}
-	a.told = why
+// forgetBalancers drops the balancers that no longer ask.
+func (a *Agent) forgetBalancers(now time.Time) {
 	for to, asked := range a.balancers {
 		if now.Sub(asked) > balancerLifetime {
 			delete(a.balancers, to)
-			continue
 		}
+	}
+}
+
+// tellChange tells the balancers when the agent begins or ceases to open flows,
+// and when it has heard of a newer configuration.
+func (a *Agent) tellChange(now time.Time) {
+	why := a.refusal(now, a.target.service)
+	changed := why != a.told && why != RefusedCold && why != RefusedSilent && why != RefusedBusy
+	if !changed && a.limits.Revision == a.toldRevision {
+		return
+	}
+	a.told, a.toldRevision = why, a.limits.Revision
+	for to := range a.balancers {
 		a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
 	}
 }
@@ -283,5 +293,6 @@
 		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
 		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
 		Flows: uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
+		Balancers: uint16(min(len(a.balancers), 1<<16-1)),
 	}
 }
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// Balancers returns the number of balancers that agents know of, at least 1.
+func (b *Balancer) Balancers() int {
+	most := 1
+	for _, m := range b.members.byPeer {
+		most = max(most, int(m.status.Balancers))
+	}
+	return most
+}
+
 // index rebuilds the members by service.
 func (s *memberSection) index() {
 	clear(s.byService)
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -111,6 +111,8 @@
 	Flows uint32
 	// Revision is the newest configuration revision that the agent heard of.
 	Revision uint64
+	// Balancers is the number of balancers that have asked the agent lately.
+	Balancers uint16
 }
 
 // Message is one datagram between a balancer and an agent. Which fields hold
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	f := &follower{
-		store: b.platform.Store, prefix: b.platform.FollowPrefix, wait: b.settings.Store.Wait, refresh: b.refresh,
+		store: b.platform.Store, prefix: b.platform.FollowPrefix, wait: b.pollWait, refresh: b.refresh,
 		byOperators: b.platform.ByOperators, changed: b.load, fresh: b.setFresh,
 	}
 	b.group.Go(func() { f.run(b.ctx) })
@@ -77,6 +77,21 @@
 	return nil
 }
 
+// maxPollWait bounds the wait of a poll: a watch that was cut is found by then
+// even if no other balancer tells.
+const maxPollWait = 20 * time.Second
+
+// pollWait returns how long a poll waits. All balancers lose their watches at
+// once if the store drops its history; the first to poll again tells the others
+// through the agents. So the polls of all balancers together are one in each
+// half of the wait set.
+func (b *Balancer) pollWait() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wait := time.Duration(b.core.Balancers()) * b.settings.Store.Wait / 2
+	return min(max(wait, b.settings.Store.Wait), maxPollWait)
+}
+
 func (b *Balancer) setFresh(up bool, err error) {
 	if up {
 		b.info("Store is followed.")
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -14,8 +14,8 @@
 
 const (
 	// coalesce is the pause between two polls after a change, so that a series
-	// of changes costs a few calls. Changes have seconds to come into force.
-	coalesce = 250 * time.Millisecond
+	// of changes costs a few calls. Changes have 3 s to come into force.
+	coalesce = time.Second
 	// minRetry and maxRetry bound the pause after a failed call. The longest one
 	// is short: a node without a configuration can't serve.
 	minRetry = 100 * time.Millisecond
@@ -34,7 +34,8 @@
 type follower struct {
 	store  store.Polled
 	prefix string
-	wait   time.Duration
+	// wait returns how long the next poll waits.
+	wait func() time.Duration
 	// byOperators reports whether operators write a key.
 	byOperators func(key string) bool
 	// changed is called with the copy after each answer of the store.
@@ -141,7 +142,7 @@
 			refreshed <- false
 		}
 	}()
-	events, next, err = f.store.Poll(ctx, f.prefix, after, f.wait)
+	events, next, err = f.store.Poll(ctx, f.prefix, after, f.wait())
 	close(done)
 	if <-refreshed {
 		return nil, 0, true, nil
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -118,16 +118,31 @@
 	v.saved = now
 }
 
+// extend renews the lease if it is time, or takes a new one.
+func (v *saver) extend(ctx context.Context) error {
+	if v.lease != 0 && time.Since(v.renewed) <= v.ttl/renewals {
+		return nil
+	}
+	err := store.ErrLeaseLapsed
+	if v.lease != 0 {
+		err = v.store.KeepAlive(ctx, v.lease)
+	}
+	if errors.Is(err, store.ErrLeaseLapsed) {
+		v.lease, err = v.store.Grant(ctx, v.ttl)
+	}
+	if err == nil {
+		v.renewed = time.Now()
+	}
+	return err
+}
+
 func (v *saver) put(ctx context.Context, s *steering.SavedFlows) error {
 	value, err := encodeSaved(s)
 	if err != nil {
 		return err
 	}
-	if v.lease == 0 || time.Since(v.renewed) > v.ttl/renewals {
-		if v.lease, err = v.store.Grant(ctx, v.ttl); err != nil {
-			return err
-		}
-		v.renewed = time.Now()
+	if err := v.extend(ctx); err != nil {
+		return err
 	}
 	err = v.store.Put(ctx, store.Put{Key: v.key, Value: value, Lease: v.lease})
 	if errors.Is(err, store.ErrLeaseLapsed) {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -76,14 +76,15 @@
 	buf = binary.BigEndian.AppendUint16(buf, s.Slots)
 	buf = binary.BigEndian.AppendUint16(buf, s.Busy)
 	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
-	return binary.BigEndian.AppendUint64(buf, s.Revision)
+	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
+	return binary.BigEndian.AppendUint16(buf, s.Balancers)
 }
 
 // Lengths of what follows the header, in bytes.
 const (
 	flowSize   = 16
 	limitsSize = 13
-	statusSize = 29
+	statusSize = 31
 )
 
 // Decode decodes a datagram. The message keeps raw.
@@ -137,6 +138,8 @@
 			Busy:     binary.BigEndian.Uint16(body[15:]),
 			Flows:    binary.BigEndian.Uint32(body[17:]),
 			Revision: binary.BigEndian.Uint64(body[21:]),
+
+			Balancers: binary.BigEndian.Uint16(body[29:]),
 		}
 	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
 		steering.MessageRefused, steering.MessageMissed:
