Declare a flow lost only with an up-to-date list of agents; fewer store calls

Answers now carry the newest list of agents that the agent has heard of; a balancer with an older list reads the store first.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -37,6 +37,8 @@
 	effects []Effect
 	// balancers are those that have asked lately, with the time.
 	balancers map[netip.AddrPort]time.Time
+	// memberRevision is the newest list of agents that a balancer has.
+	memberRevision uint64
 	// told is the refusal in the last status that was sent.
 	told Refusal
 	// toldRevision is the revision in it.
@@ -119,7 +121,7 @@
 	case MessageQuery:
 		a.Counters.Queries.Add(1)
 		verdict := a.verdict(msg.Flow, msg.Ack)
-		a.send(from, Message{Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict})
+		a.send(from, Message{Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision})
 	case MessagePing:
 		a.balancers[from] = now
 		a.takeLimits(msg.Limits)
@@ -131,6 +133,7 @@
 
 // takeLimits keeps the newest limits.
 func (a *Agent) takeLimits(l Limits) {
+	a.memberRevision = max(a.memberRevision, l.MemberRevision)
 	if l.Revision < a.limits.Revision {
 		return
 	}
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -9,11 +9,6 @@
 // EffectRefresh asks for a read of the operators' state from the store.
 const EffectRefresh EffectKind = 100
 
-// StoreStateChanged tells whether the store's watches are up to date.
-type StoreStateChanged struct{ Fresh bool }
-
-func (*StoreStateChanged) event() {}
-
 // Self is a balancer's own identity.
 type Self struct {
 	Node   string
@@ -35,13 +30,11 @@
 	members memberSection
 	holders map[Flow]*holding
 
-	searches     []Flow
-	queue        []Flow
-	storeFresh   bool
-	membersSince time.Time
-	lastSweep    time.Time
-	lastRefresh  time.Time
-	effects      []Effect
+	searches    []Flow
+	queue       []Flow
+	lastSweep   time.Time
+	lastRefresh time.Time
+	effects     []Effect
 }
 
 // NewBalancer returns a balancer that knows nothing.
@@ -62,12 +55,7 @@
 	case *ConfigurationLoaded:
 		b.loadConfiguration(now, e.State)
 	case *MembersLoaded:
-		if !b.members.loaded {
-			b.membersSince = now
-		}
-		b.loadMembers(now, e.Records)
-	case *StoreStateChanged:
-		b.storeFresh = e.Fresh
+		b.loadMembers(now, e)
 	}
 	return b.effects
 }
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -29,7 +29,13 @@
 )
 
 // MembersLoaded is the agents that the store lists.
-type MembersLoaded struct{ Records []AgentRecord }
+type MembersLoaded struct {
+	Records []AgentRecord
+	// Revision is that of the last change to the records.
+	Revision uint64
+	// Verified is the revision of the store up to which there is no other.
+	Verified uint64
+}
 
 func (*MembersLoaded) event() {}
 
@@ -66,9 +72,11 @@
 
 // memberSection is the agents that a balancer knows.
 type memberSection struct {
-	loaded    bool
-	byPeer    map[netip.AddrPort]*member
-	byService map[ServiceID][]*member
+	loaded bool
+	// revision and verified are as in MembersLoaded.
+	revision, verified uint64
+	byPeer             map[netip.AddrPort]*member
+	byService          map[ServiceID][]*member
 }
 
 func newMemberSection() memberSection {
@@ -77,17 +85,27 @@
 
 // loadMembers takes the agents that the store lists. Agents that answer stay
 // members even if the store has lost them.
-func (b *Balancer) loadMembers(now time.Time, records []AgentRecord) {
+func (b *Balancer) loadMembers(now time.Time, e *MembersLoaded) {
 	s := &b.members
 	s.loaded = true
+	s.verified = max(s.verified, e.Verified)
+	if known := len(s.byPeer) > 0; known && e.Revision <= s.revision {
+		b.reviewSearches(now)
+		return
+	}
+	s.revision = e.Revision
 	for _, m := range s.byPeer {
 		m.listed = false
 	}
-	for _, r := range records {
+	for _, r := range e.Records {
 		b.putMember(now, r)
 	}
 	b.forgetMembers(now)
 	s.index()
+	// Agents have to hear of the new list before a new agent opens flows: see
+	// declareLost.
+	b.pingAll(now)
+	b.reviewSearches(now)
 }
 
 func (b *Balancer) putMember(now time.Time, r AgentRecord) {
@@ -96,6 +114,7 @@
 		m = &member{known: now}
 		b.members.byPeer[r.Peer] = m
 		b.report(Report{Text: "Agent is listed.", Node: r.Node, Why: r.Service})
+		b.addToSearches(m)
 	}
 	m.record = r
 	m.listed = true
@@ -104,9 +123,6 @@
 	if m.status.Service == 0 {
 		m.service = ServiceIDOf(r.Service)
 	}
-	if m.lastPing.IsZero() {
-		b.ping(now, m)
-	}
 }
 
 // forgetMembers drops the agents that neither the store lists nor answer.
@@ -148,7 +164,7 @@
 
 func (b *Balancer) ping(now time.Time, m *member) {
 	m.lastPing = now
-	b.send(m, Message{Kind: MessagePing, Limits: b.config.limits(m)})
+	b.send(m, Message{Kind: MessagePing, Limits: b.config.limits(m, b.members.revision)})
 }
 
 // pingEvery returns how often the agent is asked now.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -87,6 +87,9 @@
 type Limits struct {
 	// Revision orders limits: an agent keeps the newest.
 	Revision uint64
+	// MemberRevision is the revision of the list of agents that the balancer
+	// has.
+	MemberRevision uint64
 	// DomainOut reports that the agent's failure domain is taken out.
 	DomainOut bool
 	// ColdPerSecond is the openings a second that a cold target of the agent's
@@ -128,10 +131,13 @@
 	Unrepeatable bool
 	Flow         Flow
 	// Ack is the caller's acknowledgement in a query, 0 if it has none.
-	Ack     uint32
-	Limits  Limits
-	Status  Status
-	Segment Segment
+	Ack uint32
+	// MemberRevision is, in an answer, the newest list of agents that the agent
+	// has heard of.
+	MemberRevision uint64
+	Limits         Limits
+	Status         Status
+	Segment        Segment
 }
 
 // AgentRecord is an agent as it registered itself.
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -113,8 +113,8 @@
 }
 
 // limits returns what an agent has to enforce.
-func (c *configSection) limits(m *member) Limits {
-	l := Limits{Revision: c.state.Revision, DomainOut: c.state.DomainsOut[m.record.Domain]}
+func (c *configSection) limits(m *member, memberRevision uint64) Limits {
+	l := Limits{Revision: c.state.Revision, MemberRevision: memberRevision, DomainOut: c.state.DomainsOut[m.record.Domain]}
 	if c.state.Configuration != nil {
 		l.ColdPerSecond = c.state.Configuration.ColdPerSecond[m.service]
 	}
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -23,9 +23,6 @@
 	// they may not hold, within tryWindow. Three would count as a broken flow.
 	maxTries  = 2
 	tryWindow = 2500 * time.Millisecond
-	// settleTime is how long a balancer has to know its agents before it
-	// declares a flow lost.
-	settleTime = 300 * time.Millisecond
 )
 
 // tryBudget bounds tries.
@@ -56,10 +53,12 @@
 // search is the question to all agents who holds a flow. Each agent is asked
 // once it is live; the flow is lost once all have ruled it out.
 type search struct {
-	began     time.Time
-	ack       uint32
-	questions []question
-	kept      []Segment
+	began time.Time
+	ack   uint32
+	// memberRevision is the newest list of agents that answers told of.
+	memberRevision uint64
+	questions      []question
+	kept           []Segment
 }
 
 // keep keeps a segment until the search ends; the newest ones are kept.
@@ -155,6 +154,15 @@
 	b.send(q.member, Message{Kind: MessageQuery, Flow: f, Ack: ack})
 }
 
+// addToSearches makes the searches wait for the answer of a new agent.
+func (b *Balancer) addToSearches(m *member) {
+	for _, f := range b.searches {
+		if h := b.holders[f]; h != nil && h.stage == stageSearching {
+			h.search.questions = append(h.search.questions, question{member: m})
+		}
+	}
+}
+
 // askMember asks an agent that has come back about all flows that are searched.
 func (b *Balancer) askMember(now time.Time, m *member) {
 	for _, f := range b.searches {
@@ -162,12 +170,7 @@
 		if h == nil || h.stage != stageSearching {
 			continue
 		}
-		q := h.search.of(m)
-		if q == nil {
-			h.search.questions = append(h.search.questions, question{member: m})
-			q = h.search.of(m)
-		}
-		if !q.answered {
+		if q := h.search.of(m); q != nil && !q.answered {
 			b.askOne(now, q, f, h.search.ack)
 		}
 	}
@@ -199,12 +202,19 @@
 		return
 	}
 	q.answered, q.verdict = true, msg.Verdict
-	b.declareLost(now, h, msg.Flow)
+	h.search.memberRevision = max(h.search.memberRevision, msg.MemberRevision)
+	b.declareLost(now, h)
 }
 
-// declareLost resets a flow that all agents have ruled out.
-func (b *Balancer) declareLost(now time.Time, h *holding, f Flow) {
-	if !h.search.ruledOut() || !b.settled(now) {
+// declareLost resets a flow that all agents have ruled out. Another balancer may
+// have opened it at an agent that this one does not know yet; but then it had
+// told the agents of its newer list before.
+func (b *Balancer) declareLost(now time.Time, h *holding) {
+	if !h.search.ruledOut() {
+		return
+	}
+	if !b.members.loaded || h.search.memberRevision > b.members.verified {
+		b.refresh(now)
 		return
 	}
 	s := h.search.kept[len(h.search.kept)-1]
@@ -234,7 +244,7 @@
 // likeliest unsure agent tries, and a search without a caller ends.
 func (b *Balancer) review(now time.Time, h *holding, f Flow) {
 	q := h.search
-	b.declareLost(now, h, f)
+	b.declareLost(now, h)
 	if h.stage != stageSearching || now.Sub(q.began) < searchTimeout {
 		return
 	}
@@ -283,12 +293,6 @@
 	return remote[0]
 }
 
-// settled reports whether the balancer knows its agents long enough to rule
-// out one that it has not heard of.
-func (b *Balancer) settled(now time.Time) bool {
-	return b.members.loaded && b.storeFresh && now.Sub(b.membersSince) > settleTime
-}
-
 // resetLost tells the caller that its flow is gone.
 func (b *Balancer) resetLost(now time.Time, h *holding, s Segment) {
 	if now.Sub(h.sent) > tryWindow {
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -28,7 +28,6 @@
 	mu        sync.Mutex // guards core and node.out
 	core      *steering.Agent
 	registrar *registrar
-	saver     *saver
 	outbound  *net.UDPConn
 }
 
@@ -50,8 +49,8 @@
 		wanted: make(chan steering.AgentRecord, 1),
 		notify: a.step, warn: a.warn, info: a.info,
 	}
-	a.saver = &saver{
-		store: p.Store, key: p.FlowPrefix + string(s.Node), ttl: s.Store.Lease,
+	a.registrar.saver = &saver{
+		store: p.Store, key: p.FlowPrefix + string(s.Node),
 		flows: a.savedFlows, restore: a.step, warn: a.warn,
 	}
 	return a
@@ -91,7 +90,6 @@
 	a.group.Go(func() { a.every(tickEvery, func() { a.step(&steering.Tick{}) }) })
 	a.group.Go(func() { a.countersByName().Report(a.ctx, a.metrics) })
 	a.group.Go(func() { a.registrar.run(a.ctx) })
-	a.group.Go(func() { a.saver.run(a.ctx) })
 	a.info("Agent started.", "node", a.settings.Node, "domain", a.settings.Domain, "target", a.settings.Target)
 	return nil
 }
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -38,6 +39,10 @@
 	// lastSegment is when a caller's segment came last.
 	lastSegment time.Time
 	refresh     chan struct{}
+	// operators and agents are what the store held last; the follower's
+	// goroutine owns them.
+	operators steering.OperatorState
+	agents    steering.MembersLoaded
 }
 
 // NewBalancer returns a balancer that has not started.
@@ -65,7 +70,7 @@
 		return err
 	}
 	f := &follower{
-		store: b.platform.Store, prefix: b.platform.FollowPrefix, wait: b.pollWait, refresh: b.refresh,
+		store: b.platform.Store, prefix: b.platform.FollowPrefix, wait: b.pollWait, pause: b.changePause, refresh: b.refresh,
 		byOperators: b.platform.ByOperators, changed: b.load, fresh: b.setFresh,
 	}
 	b.group.Go(func() { f.run(b.ctx) })
@@ -92,40 +97,56 @@
 	return min(max(wait, b.settings.Store.Wait), maxPollWait)
 }
 
+const (
+	// minChangePause and maxChangePause bound the pause after a change in the
+	// store. A change has 3 s to come into force in a small fleet, 5 s in a large
+	// one.
+	minChangePause = 500 * time.Millisecond
+	maxChangePause = 3 * time.Second
+	// changePausePerBalancer is the pause for each balancer, so that a series of
+	// changes costs all balancers together about ten calls a second.
+	changePausePerBalancer = 100 * time.Millisecond
+)
+
+// changePause returns how long to wait after a change before the next poll. The
+// pauses differ, so that some balancer sees the next change soon and the others
+// learn of it through the agents.
+func (b *Balancer) changePause() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pause := min(max(time.Duration(b.core.Balancers())*changePausePerBalancer, minChangePause), maxChangePause)
+	return pause/2 + rand.N(pause)
+}
+
 func (b *Balancer) setFresh(up bool, err error) {
 	if up {
 		b.info("Store is followed.")
 	} else {
 		b.warn("Store is lost.", err)
 	}
-	b.step(&steering.StoreStateChanged{Fresh: up})
 }
 
-// load takes what the store holds.
+// load takes what the store holds. What has not changed is not decoded again.
 func (b *Balancer) load(c copied) {
-	if c.operators {
-		b.loadOperators(c)
-	}
-	if c.agents {
-		b.loadAgents(c)
-	}
-}
-
-func (b *Balancer) loadOperators(c copied) {
-	state, errs := b.platform.OperatorState(c.pairs)
-	state.Revision, state.Verified = uint64(c.operatorRevision), uint64(c.revision)
-	for _, err := range errs {
-		b.warn("An entry of the operators can't be read.", err)
-	}
-	b.step(&steering.ConfigurationLoaded{State: state})
-}
-
-func (b *Balancer) loadAgents(c copied) {
-	records, errs := decodeRecords(b.platform.AgentPrefix, c.pairs)
-	for _, err := range errs {
-		b.warn("An agent's record can't be read.", err)
+	if c.operatorRevision != b.operators.Revision || b.operators.Verified == 0 {
+		state, errs := b.platform.OperatorState(c.pairs)
+		for _, err := range errs {
+			b.warn("An entry of the operators can't be read.", err)
+		}
+		state.Revision = c.operatorRevision
+		b.operators = state
+	}
+	b.operators.Verified = c.revision
+	if c.agentRevision != b.agents.Revision || b.agents.Verified == 0 {
+		records, errs := decodeRecords(b.platform.AgentPrefix, c.pairs)
+		for _, err := range errs {
+			b.warn("An agent's record can't be read.", err)
+		}
+		b.agents = steering.MembersLoaded{Records: records, Revision: c.agentRevision}
 	}
-	b.step(&steering.MembersLoaded{Records: records})
+	b.agents.Verified = c.revision
+	b.step(&steering.ConfigurationLoaded{State: b.operators})
+	b.step(&b.agents)
 }
 
 func (b *Balancer) fromCaller(raw []byte, _ netip.AddrPort) {
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// coalesce is the pause between two polls after a change, so that a series
-	// of changes costs a few calls. Changes have 3 s to come into force.
-	coalesce = time.Second
 	// minRetry and maxRetry bound the pause after a failed call. The longest one
 	// is short: a node without a configuration can't serve.
 	minRetry = 100 * time.Millisecond
@@ -36,6 +33,8 @@
 	prefix string
 	// wait returns how long the next poll waits.
 	wait func() time.Duration
+	// pause returns how long to wait after a change before the next poll.
+	pause func() time.Duration
 	// byOperators reports whether operators write a key.
 	byOperators func(key string) bool
 	// changed is called with the copy after each answer of the store.
@@ -46,20 +45,19 @@
 	refresh chan struct{}
 
 	pairs map[string]store.KeyValue
-	// operatorRevision is that of the last change by operators.
-	operatorRevision store.Revision
-	isUp             bool
+	// operatorRevision and agentRevision are those of the last changes.
+	operatorRevision, agentRevision store.Revision
+	isUp                            bool
 }
 
 // copied is a copy of a part of the store.
 type copied struct {
 	pairs []store.KeyValue
 	// revision is the state of the store that was copied.
-	revision store.Revision
-	// operatorRevision is that of the last change by operators.
-	operatorRevision store.Revision
-	// operators and agents tell what may have changed.
-	operators, agents bool
+	revision uint64
+	// operatorRevision is that of the last change by operators, agentRevision
+	// that of the last one by agents.
+	operatorRevision, agentRevision uint64
 }
 
 // run follows the prefix until the context ends.
@@ -96,14 +94,8 @@
 		return err
 	}
 	retry.Reset()
-	f.pairs = make(map[string]store.KeyValue, len(result.KVs))
-	for _, kv := range result.KVs {
-		f.pairs[kv.Key] = kv
-		if f.byOperators(kv.Key) {
-			f.operatorRevision = max(f.operatorRevision, kv.ModRevision)
-		}
-	}
-	f.notify(result.Revision, true, true)
+	f.replace(result)
+	f.notify(result.Revision)
 	f.setFresh(true, nil)
 	revision := result.Revision
 	for {
@@ -112,18 +104,35 @@
 			return err
 		}
 		revision = next
-		operators, agents := f.apply(events)
-		f.notify(revision, true, agents)
-		if operators || agents {
-			sleep(ctx, coalesce)
+		f.apply(events)
+		f.notify(revision)
+		if len(events) > 0 {
+			if f.pauseAfterChange(ctx) {
+				return nil
+			}
 		}
 	}
 }
 
-func (f *follower) notify(revision store.Revision, operators, agents bool) {
+// pauseAfterChange waits before the next poll, so that a series of changes
+// costs a few calls. It reports whether a refresh was asked for meanwhile.
+func (f *follower) pauseAfterChange(ctx context.Context) bool {
+	timer := time.NewTimer(f.pause())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.refresh:
+		return true
+	}
+	return false
+}
+
+// notify passes the copy on.
+func (f *follower) notify(revision store.Revision) {
 	f.changed(copied{
-		pairs: f.sorted(), revision: revision, operatorRevision: f.operatorRevision,
-		operators: operators, agents: agents,
+		pairs: f.sorted(), revision: uint64(revision),
+		operatorRevision: uint64(f.operatorRevision), agentRevision: uint64(f.agentRevision),
 	})
 }
 
@@ -150,22 +159,40 @@
 	return events, next, false, err
 }
 
-// apply takes events into the copy and tells whose keys they concern.
-func (f *follower) apply(events []store.Event) (operators, agents bool) {
-	for _, e := range events {
-		if f.byOperators(e.KV.Key) {
-			operators = true
-			f.operatorRevision = max(f.operatorRevision, e.KV.ModRevision)
-		} else {
-			agents = true
+// replace takes a whole read into the copy. A pair that is gone was deleted at
+// some revision up to that of the read.
+func (f *follower) replace(result store.RangeResult) {
+	before := f.pairs
+	f.pairs = make(map[string]store.KeyValue, len(result.KVs))
+	for _, kv := range result.KVs {
+		f.pairs[kv.Key] = kv
+		f.noteRevision(kv)
+	}
+	for key := range before {
+		if _, ok := f.pairs[key]; !ok {
+			f.noteRevision(store.KeyValue{Key: key, ModRevision: result.Revision})
 		}
+	}
+}
+
+func (f *follower) noteRevision(kv store.KeyValue) {
+	if f.byOperators(kv.Key) {
+		f.operatorRevision = max(f.operatorRevision, kv.ModRevision)
+	} else {
+		f.agentRevision = max(f.agentRevision, kv.ModRevision)
+	}
+}
+
+// apply takes events into the copy.
+func (f *follower) apply(events []store.Event) {
+	for _, e := range events {
+		f.noteRevision(e.KV)
 		if e.Deleted {
 			delete(f.pairs, e.KV.Key)
 			continue
 		}
 		f.pairs[e.KV.Key] = e.KV
 	}
-	return operators, agents
 }
 
 func (f *follower) sorted() []store.KeyValue {
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -11,8 +11,12 @@
 
 const (
 	// verifyInterval is how often an agent looks whether its record is still in
-	// the store: records that were taken away have to be back within 2 s.
-	verifyInterval = 2 * time.Second
+	// the store. Balancers that know the agent do not need it; one that starts
+	// does.
+	verifyInterval = 3 * time.Second
+	// saveEvery is how many verifications pass between two saves of the flows.
+	// Callers keep flows for many seconds; more saves cost calls.
+	saveEvery = 2
 	// renewals is how often a lease is renewed within its life.
 	renewals = 3
 )
@@ -31,6 +35,8 @@
 	renewed time.Time
 	record  *steering.AgentRecord
 	failing bool
+	saver   *saver
+	rounds  int
 }
 
 // want asks for a record; the last one asked for is kept.
@@ -81,6 +87,9 @@
 			g.lease = kv.Lease
 		}
 		g.succeeded()
+		if found {
+			g.saver.load(ctx)
+		}
 		g.notify(&steering.PreviousRecord{Found: found, Record: r})
 		return
 	}
@@ -142,6 +151,17 @@
 		g.write(ctx)
 	default:
 		g.succeeded()
+		g.save(ctx)
+	}
+}
+
+// save saves the flows in every few rounds.
+func (g *registrar) save(ctx context.Context) {
+	if g.rounds++; g.rounds%saveEvery != 0 {
+		return
+	}
+	if err := g.saver.save(ctx, g.lease); err != nil {
+		g.failed(err)
 	}
 }
 
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -5,28 +5,20 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
-	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
-// saveInterval is how often an agent saves its flows if they have changed.
-// Callers keep flows for several seconds; a shorter one costs calls.
-const saveInterval = 5 * time.Second
-
 // saver keeps an agent's open flows in the store for its next process.
 type saver struct {
 	store   store.Polled
 	key     string
-	ttl     time.Duration
 	flows   func() steering.SavedFlows
 	restore func(steering.Event)
 	warn    func(string, error)
 
-	saved   steering.SavedFlows
-	lease   store.LeaseID
-	renewed time.Time
+	saved steering.SavedFlows
 }
 
 // savedDocument is the saved flows as they stand in the store.
@@ -68,22 +60,6 @@
 	return out, nil
 }
 
-// run reads the flows that an earlier process left and saves those of this one
-// until the context ends.
-func (v *saver) run(ctx context.Context) {
-	v.load(ctx)
-	ticker := time.NewTicker(saveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			v.save(ctx)
-		}
-	}
-}
-
 // load reads the flows of an earlier process once: later they are of no use.
 func (v *saver) load(ctx context.Context) {
 	kv, found, err := v.store.Get(ctx, v.key, false)
@@ -94,7 +70,6 @@
 	if !found {
 		return
 	}
-	v.lease = kv.Lease
 	s, err := decodeSaved(kv.Value)
 	if err != nil {
 		v.warn("The saved flows can't be understood.", err)
@@ -104,49 +79,20 @@
 	v.restore(s)
 }
 
-// save writes the flows if the saved ones no longer do. A failed call is made
-// up for by the next.
-func (v *saver) save(ctx context.Context) {
+// save writes the flows under a lease if the saved ones no longer do. A failed
+// call is made up for by the next.
+func (v *saver) save(ctx context.Context, lease store.LeaseID) error {
 	now := v.flows()
 	if v.saved.Covers(&now) {
-		return
-	}
-	if err := v.put(ctx, &now); err != nil {
-		v.warn("The flows could not be saved.", err)
-		return
-	}
-	v.saved = now
-}
-
-// extend renews the lease if it is time, or takes a new one.
-func (v *saver) extend(ctx context.Context) error {
-	if v.lease != 0 && time.Since(v.renewed) <= v.ttl/renewals {
 		return nil
 	}
-	err := store.ErrLeaseLapsed
-	if v.lease != 0 {
-		err = v.store.KeepAlive(ctx, v.lease)
-	}
-	if errors.Is(err, store.ErrLeaseLapsed) {
-		v.lease, err = v.store.Grant(ctx, v.ttl)
-	}
-	if err == nil {
-		v.renewed = time.Now()
-	}
-	return err
-}
-
-func (v *saver) put(ctx context.Context, s *steering.SavedFlows) error {
-	value, err := encodeSaved(s)
+	value, err := encodeSaved(&now)
 	if err != nil {
 		return err
 	}
-	if err := v.extend(ctx); err != nil {
+	if err := v.store.Put(ctx, store.Put{Key: v.key, Value: value, Lease: lease}); err != nil {
 		return err
 	}
-	err = v.store.Put(ctx, store.Put{Key: v.key, Value: value, Lease: v.lease})
-	if errors.Is(err, store.ErrLeaseLapsed) {
-		v.lease = 0
-	}
-	return err
+	v.saved = now
+	return nil
 }
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -40,7 +40,8 @@
 	switch m.Kind {
 	case steering.MessageQuery, steering.MessageAnswer, steering.MessageHeld:
 		buf = appendFlow(buf, m.Flow)
-		return binary.BigEndian.AppendUint32(buf, m.Ack)
+		buf = binary.BigEndian.AppendUint32(buf, m.Ack)
+		return binary.BigEndian.AppendUint64(buf, m.MemberRevision)
 	case steering.MessagePing:
 		return appendLimits(buf, &m.Limits)
 	case steering.MessagePong:
@@ -61,6 +62,7 @@
 
 func appendLimits(buf []byte, l *steering.Limits) []byte {
 	buf = binary.BigEndian.AppendUint64(buf, l.Revision)
+	buf = binary.BigEndian.AppendUint64(buf, l.MemberRevision)
 	out := byte(0)
 	if l.DomainOut {
 		out = 1
@@ -82,8 +84,8 @@
 
 // Lengths of what follows the header, in bytes.
 const (
-	flowSize   = 16
-	limitsSize = 13
+	flowSize   = 24
+	limitsSize = 21
 	statusSize = 31
 )
 
@@ -117,14 +119,16 @@
 		}
 		m.Flow = steering.Flow{Caller: endpoint(body), Address: endpoint(body[6:])}
 		m.Ack = binary.BigEndian.Uint32(body[12:])
+		m.MemberRevision = binary.BigEndian.Uint64(body[16:])
 	case steering.MessagePing:
 		if len(body) < limitsSize {
 			return errShort
 		}
 		m.Limits = steering.Limits{
-			Revision:      binary.BigEndian.Uint64(body),
-			DomainOut:     body[8] != 0,
-			ColdPerSecond: math.Float32frombits(binary.BigEndian.Uint32(body[9:])),
+			Revision:       binary.BigEndian.Uint64(body),
+			MemberRevision: binary.BigEndian.Uint64(body[8:]),
+			DomainOut:      body[16] != 0,
+			ColdPerSecond:  math.Float32frombits(binary.BigEndian.Uint32(body[17:])),
 		}
 	case steering.MessagePong:
 		if len(body) < statusSize {
