Estimate the work of busy agents; serve the newest waiting flows first

An agent that reported 'busy' was shunned until its next pong 500 ms later, while its target was idle after 120 ms; flows whose callers had given up counted as work for 5 s; the oldest waiting flows, whose callers were about to leave, went first. Balancers now estimate the work left from the target's work time, which agents measure on requests that found a free slot.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -163,6 +163,7 @@
 	}
 	a.cold.take(now)
 	a.flows.begin(now, s.Flow, msg.Unrepeatable)
+	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
 	a.deliver(from, s)
 }
@@ -300,7 +301,8 @@
 	return Status{
 		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
 		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
-		Flows: uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
+		PerSecond: uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
+		Flows:     uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
 		Balancers: uint16(min(len(a.balancers), 1<<16-1)),
 	}
 }
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -13,9 +13,14 @@
 	// openTimeout is how long a flow is remembered whose caller does not go on
 	// after the opening.
 	openTimeout = 5 * time.Second
-	// handshakeTimeout is how long such a flow counts as a request to come:
-	// callers give an attempt up after 1.4 s.
-	handshakeTimeout = 1500 * time.Millisecond
+	// expectTimeout is how long a flow counts as a request to come after its
+	// caller sent last: callers send a request right after the handshake.
+	expectTimeout = 300 * time.Millisecond
+	// unknownWorkTime is taken for the mean time of a request before one was
+	// seen.
+	unknownWorkTime = 100 * time.Millisecond
+	// workWeight is the weight of a new work time in the mean.
+	workWeight = 0.1
 	// busyTimeout is how long a request without any segment counts as in work.
 	busyTimeout = 5 * time.Second
 	// ruledOutLifetime is how long an agent remembers that its target returned
@@ -49,8 +54,15 @@
 	// lastTarget is when the target sent last.
 	lastTarget time.Time
 	busy       bool // the caller has sent data that the target has not answered
-	closed     bool
-	last       time.Time
+	// expected is set while a request is expected that has not come: a caller
+	// opens a flow to send one.
+	expected bool
+	// sole reports that the request in work found a free slot when it came, at
+	// workBegan.
+	sole      bool
+	workBegan time.Time
+	closed    bool
+	last      time.Time
 }
 
 // matches reports whether a segment from the middle of a flow may belong to this
@@ -71,6 +83,12 @@
 	byFlow map[Flow]*flow
 	ruled  map[Flow]time.Time
 	busy   int
+	// expected counts the busy flows whose request has not come.
+	expected int
+	// slots is the target's slots.
+	slots int
+	// workTime is the mean time of requests that found a free slot.
+	workTime time.Duration
 	// unanswered is when the oldest opening segment was delivered that the
 	// target has not answered, zero if none.
 	unanswered time.Time
@@ -106,7 +124,7 @@
 	s.drop(f)
 	opened := &flow{last: now, unrepeatable: unrepeatable}
 	s.byFlow[f] = opened
-	// A caller opens a flow to send a request.
+	s.setExpected(opened, true)
 	s.setBusy(opened, true)
 	delete(s.ruled, f)
 	if s.unanswered.IsZero() {
@@ -127,6 +145,18 @@
 	return false
 }
 
+func (s *flowSection) setExpected(f *flow, expected bool) {
+	if f.expected == expected {
+		return
+	}
+	f.expected = expected
+	if expected {
+		s.expected++
+	} else {
+		s.expected--
+	}
+}
+
 func (s *flowSection) setBusy(f *flow, busy bool) {
 	if f.busy == busy {
 		return
@@ -139,6 +169,39 @@
 	}
 }
 
+// beginWork notes that the caller has sent a request.
+func (s *flowSection) beginWork(now time.Time, f *flow) {
+	if f.busy && !f.expected {
+		return // more of the same request
+	}
+	s.setExpected(f, false)
+	s.setBusy(f, true)
+	f.workBegan, f.sole = now, s.busy-s.expected <= s.slots
+}
+
+// endWork notes that the target has begun to answer.
+func (s *flowSection) endWork(now time.Time, f *flow) {
+	if f.busy && !f.expected && f.sole {
+		took := now.Sub(f.workBegan)
+		if s.workTime == 0 {
+			s.workTime = took
+		}
+		s.workTime += time.Duration(workWeight * float64(took-s.workTime))
+	}
+	s.setExpected(f, false)
+	s.setBusy(f, false)
+}
+
+// perSecond returns the requests that the target finishes in a second with all
+// slots in use.
+func (s *flowSection) perSecond(slots int) int {
+	workTime := s.workTime
+	if workTime <= 0 {
+		workTime = unknownWorkTime
+	}
+	return int(float64(slots) / workTime.Seconds())
+}
+
 // fromCaller notes a segment of the caller.
 func (s *flowSection) fromCaller(now time.Time, seg *Segment) {
 	f := s.byFlow[seg.Flow]
@@ -148,7 +211,7 @@
 		f.ack = seg.Ack
 	}
 	if seg.Len > 0 {
-		s.setBusy(f, true)
+		s.beginWork(now, f)
 	}
 	if seg.Flags.Has(FlagReset) {
 		f.closed = true
@@ -170,7 +233,7 @@
 	f.lastSeq = seg.Seq + uint32(seg.Len)
 	f.open = f.open || !seg.Flags.Has(FlagOpen)
 	if seg.Len > 0 {
-		s.setBusy(f, false)
+		s.endWork(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
 		f.closed = true
@@ -187,6 +250,7 @@
 
 func (s *flowSection) drop(f Flow) {
 	if held := s.byFlow[f]; held != nil {
+		s.setExpected(held, false)
 		s.setBusy(held, false)
 		delete(s.byFlow, f)
 	}
@@ -198,7 +262,8 @@
 		silence := now.Sub(held.last)
 		if silence > held.lifetime() {
 			s.drop(f)
-		} else if silence > busyTimeout || !held.open && silence > handshakeTimeout {
+		} else if silence > busyTimeout || held.expected && silence > expectTimeout {
+			s.setExpected(held, false)
 			s.setBusy(held, false)
 		}
 	}
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -153,7 +153,11 @@
 // handleRefused offers a refused segment to another agent.
 func (b *Balancer) handleRefused(now time.Time, m *member, msg *Message) {
 	b.Counters.Refused.Add(1)
-	m.avoidUntil = now.Add(refusalPause)
+	if msg.Refusal == RefusedBusy {
+		m.noteWork(now, maxWorkPerSlot*m.slots())
+	} else {
+		m.avoidUntil = now.Add(refusalPause)
+	}
 	s := msg.Segment
 	b.report(Report{Text: "Agent refused to open the flow.", Flow: s.Flow, Node: m.record.Node, Why: msg.Refusal.String()})
 	h := b.holding(now, s.Flow)
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -54,8 +54,10 @@
 	known    time.Time
 	lastPing time.Time
 	lastPong time.Time
-	// opened counts the flows sent to the agent since its last pong.
-	opened int
+	// work is the requests waiting or in work at loadAt, opened counts the flows
+	// that were sent to the agent since.
+	work, opened int
+	loadAt       time.Time
 	// avoidUntil is set by a refusal.
 	avoidUntil time.Time
 }
@@ -202,7 +204,7 @@
 	}
 	m.status = s
 	m.lastPong = now
-	m.opened = 0
+	m.noteWork(now, int(s.Busy))
 	if s.Service != 0 && s.Service != m.service {
 		m.service = s.Service
 		b.members.index()
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -116,6 +116,9 @@
 	Slots uint16
 	// Busy is the number of requests that are waiting or in work.
 	Busy uint16
+	// PerSecond is the requests a second that the target finishes with all slots
+	// in use.
+	PerSecond uint16
 	// Flows is the number of open flows.
 	Flows uint32
 	// Revision is the newest configuration revision that the agent heard of.
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -9,16 +9,26 @@
 	// spillRatio is how much less load another failure domain must have. Bytes
 	// between domains cost, and loads are half a second old.
 	spillRatio = 0.6
-	// refusalPause is how long an agent that refused gets no new flows.
+	// refusalPause is how long an agent that refused gets no new flows, unless it
+	// was merely busy.
 	refusalPause = 100 * time.Millisecond
 	// maxOffers bounds the agents that one segment is offered to.
 	maxOffers = 4
 )
 
-// load returns the requests per slot, with the flows that were opened since
-// the agent reported.
-func (m *member) load() float64 {
-	return float64(int(m.status.Busy)+m.opened) / float64(max(m.status.Slots, 1))
+// noteWork notes the work at the agent's target.
+func (m *member) noteWork(now time.Time, work int) {
+	m.work, m.opened, m.loadAt = work, 0, now
+}
+
+// slots returns the slots of the agent's target, at least 1.
+func (m *member) slots() int { return max(int(m.status.Slots), 1) }
+
+// load estimates the requests per slot now: the work that the agent reported,
+// and the flows opened since, less what the target has finished since.
+func (m *member) load(now time.Time) float64 {
+	finished := float64(m.status.PerSecond) * now.Sub(m.loadAt).Seconds()
+	return max(0, float64(m.work+m.opened)-finished) / float64(m.slots())
 }
 
 // tier orders candidates: agents that open flows before agents with a cold
@@ -35,12 +45,15 @@
 	if !m.live(now) || now.Before(m.avoidUntil) || b.config.state.DomainsOut[m.record.Domain] {
 		return tierNone
 	}
+	if m.load(now) >= maxWorkPerSlot {
+		return tierNone
+	}
 	switch m.status.Refusal {
-	case RefusedNot:
+	case RefusedNot, RefusedBusy:
 		return tierOpen
 	case RefusedCold:
 		return tierCold
-	case RefusedBusy, RefusedNoTarget, RefusedDraining, RefusedOut, RefusedService, RefusedFull, RefusedSilent:
+	case RefusedNoTarget, RefusedDraining, RefusedOut, RefusedService, RefusedFull, RefusedSilent:
 	}
 	return tierNone
 }
@@ -59,8 +72,8 @@
 }
 
 // lighter returns the one with less load, the higher ranked one if equal.
-func (p *pair) lighter() *member {
-	if p[1] != nil && p[1].load() < p[0].load() {
+func (p *pair) lighter(now time.Time) *member {
+	if p[1] != nil && p[1].load(now) < p[0].load(now) {
 		return p[1]
 	}
 	return p[0]
@@ -83,7 +96,7 @@
 		}
 	}
 	for t := range tierNone {
-		if m := nearest(&local[t], &remote[t]); m != nil {
+		if m := nearest(now, &local[t], &remote[t]); m != nil {
 			return m
 		}
 	}
@@ -91,12 +104,12 @@
 }
 
 // nearest picks between the own failure domain and the others.
-func nearest(local, remote *pair) *member {
-	near, far := local.lighter(), remote.lighter()
+func nearest(now time.Time, local, remote *pair) *member {
+	near, far := local.lighter(now), remote.lighter(now)
 	switch {
 	case near == nil:
 		return far
-	case far == nil || near.load() <= spillLoad || far.load() > near.load()*spillRatio:
+	case far == nil || near.load(now) <= spillLoad || far.load(now) > near.load(now)*spillRatio:
 		return near
 	}
 	return far
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -40,15 +40,16 @@
 	delete(b.holders, f)
 }
 
-// placeQueued offers the waiting segments, the oldest first, until a service
-// has no agent that takes more.
+// placeQueued offers the waiting segments, the newest first: under overload the
+// callers of the oldest ones are about to give up, and serving them would make
+// all others late.
 func (b *Balancer) placeQueued(now time.Time) {
 	if len(b.queue) == 0 {
 		return
 	}
 	waiting := b.queue
 	b.queue = nil
-	for _, f := range waiting {
+	for _, f := range slices.Backward(waiting) {
 		h := b.holders[f]
 		if h == nil || h.queuedAt.IsZero() {
 			continue
@@ -71,4 +72,5 @@
 			b.offerNext(now, h, h.queued, r)
 		}
 	}
+	slices.Reverse(b.queue)
 }
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -280,3 +280,36 @@
 	a.up = false
 	w.after(400*time.Millisecond, func() { w.startAgent(a) })
 }
+
+// Load: a surge while some agents are away, with callers that give up. Flows whose
+// callers have left must not keep the agents busy, and an agent that was busy must
+// be used again as soon as it has room: incident inc-62af of vrts-suva.
+func TestServiceRecoversFromASurge(t *testing.T) {
+	w, _ := steady(t, 11, 3, 3, 0)
+	surge := func(flows int) {
+		for range flows {
+			w.open()
+		}
+	}
+	surge(300)
+	w.run(100 * time.Millisecond)
+	surge(200)
+	// 3 targets of 5 slots and 50 ms bear 300 requests a second.
+	const pause = 3700 * time.Microsecond
+	var callers []*caller
+	for range 800 {
+		callers = append(callers, w.open())
+		w.run(pause)
+	}
+	w.run(time.Second)
+	late := 0
+	callers = callers[len(callers)/2:] // the surge is over after 1.5 s
+	for _, c := range callers {
+		if c.answered == 0 || c.openedAt.Sub(c.began) > 150*time.Millisecond {
+			late++
+		}
+	}
+	if allowed := len(callers) / 20; late > allowed {
+		t.Errorf("%d of %d flows opened late or not at all, want at most %d", late, len(callers), allowed)
+	}
+}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -77,6 +77,7 @@
 	buf = append(buf, byte(s.Refusal))
 	buf = binary.BigEndian.AppendUint16(buf, s.Slots)
 	buf = binary.BigEndian.AppendUint16(buf, s.Busy)
+	buf = binary.BigEndian.AppendUint16(buf, s.PerSecond)
 	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
 	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
 	return binary.BigEndian.AppendUint16(buf, s.Balancers)
@@ -86,7 +87,7 @@
 const (
 	flowSize   = 24
 	limitsSize = 21
-	statusSize = 31
+	statusSize = 33
 )
 
 // Decode decodes a datagram. The message keeps raw.
@@ -135,15 +136,15 @@
 			return errShort
 		}
 		m.Status = steering.Status{
-			Epoch:    binary.BigEndian.Uint64(body),
-			Service:  steering.ServiceID(binary.BigEndian.Uint32(body[8:])),
-			Refusal:  steering.Refusal(body[12]),
-			Slots:    binary.BigEndian.Uint16(body[13:]),
-			Busy:     binary.BigEndian.Uint16(body[15:]),
-			Flows:    binary.BigEndian.Uint32(body[17:]),
-			Revision: binary.BigEndian.Uint64(body[21:]),
-
-			Balancers: binary.BigEndian.Uint16(body[29:]),
+			Epoch:     binary.BigEndian.Uint64(body),
+			Service:   steering.ServiceID(binary.BigEndian.Uint32(body[8:])),
+			Refusal:   steering.Refusal(body[12]),
+			Slots:     binary.BigEndian.Uint16(body[13:]),
+			Busy:      binary.BigEndian.Uint16(body[15:]),
+			PerSecond: binary.BigEndian.Uint16(body[17:]),
+			Flows:     binary.BigEndian.Uint32(body[19:]),
+			Revision:  binary.BigEndian.Uint64(body[23:]),
+			Balancers: binary.BigEndian.Uint16(body[31:]),
 		}
 	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
 		steering.MessageRefused, steering.MessageMissed:
