--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -165,13 +165,15 @@
 	a.flows.begin(now, s.Flow, msg.Unrepeatable)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
+	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Version: int64(a.limits.Revision)})
 	a.deliver(from, s)
 }
 
 // maxWorkPerSlot bounds the requests in work and waiting at a target, per slot,
-// beyond which it gets no new flows. Targets queue a few requests a slot before
-// they shed.
-const maxWorkPerSlot = 4
+// beyond which it gets no new flows: one request waits for each in work. More
+// would make all of them late; the others wait at the balancers, where the newest
+// go first.
+const maxWorkPerSlot = 2
 
 // refusal returns why the agent does not open a flow of the service now.
 func (a *Agent) refusal(now time.Time, service ServiceID) Refusal {
@@ -254,7 +256,12 @@
 		return
 	}
 	a.Counters.Answered.Add(1)
-	a.flows.fromTarget(now, &s)
+	if held := a.flows.byFlow[s.Flow]; held != nil && !held.seen {
+		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Took: now.Sub(held.last)})
+	}
+	if took, ended := a.flows.fromTarget(now, &s); ended {
+		a.emit(Effect{Kind: EffectObserve, Latency: LatencyRequest, Took: took})
+	}
 	a.emit(Effect{Kind: EffectAnswer, Segment: s})
 }
 
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// EffectRefresh asks for a read of the operators' state from the store.
-const EffectRefresh EffectKind = 100
-
 // Self is a balancer's own identity.
 type Self struct {
 	Node   string
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -179,10 +179,14 @@
 	f.workBegan, f.sole = now, s.busy-s.expected <= s.slots
 }
 
-// endWork notes that the target has begun to answer.
-func (s *flowSection) endWork(now time.Time, f *flow) {
-	if f.busy && !f.expected && f.sole {
-		took := now.Sub(f.workBegan)
+// endWork notes that the target has begun to answer, and returns how long a
+// request took that ended thereby.
+func (s *flowSection) endWork(now time.Time, f *flow) (took time.Duration, ended bool) {
+	ended = f.busy && !f.expected
+	if ended {
+		took = now.Sub(f.workBegan)
+	}
+	if ended && f.sole {
 		if s.workTime == 0 {
 			s.workTime = took
 		}
@@ -190,6 +194,7 @@
 	}
 	s.setExpected(f, false)
 	s.setBusy(f, false)
+	return took, ended
 }
 
 // perSecond returns the requests that the target finishes in a second with all
@@ -219,8 +224,9 @@
 	}
 }
 
-// fromTarget notes a segment of the target, which holds the flow.
-func (s *flowSection) fromTarget(now time.Time, seg *Segment) {
+// fromTarget notes a segment of the target, which holds the flow. It returns how
+// long a request took that the segment ends.
+func (s *flowSection) fromTarget(now time.Time, seg *Segment) (took time.Duration, ended bool) {
 	s.unanswered = time.Time{}
 	f := s.byFlow[seg.Flow]
 	if f == nil {
@@ -233,12 +239,13 @@
 	f.lastSeq = seg.Seq + uint32(seg.Len)
 	f.open = f.open || !seg.Flags.Has(FlagOpen)
 	if seg.Len > 0 {
-		s.endWork(now, f)
+		took, ended = s.endWork(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
 		f.closed = true
 		s.setBusy(f, false)
 	}
+	return took, ended
 }
 
 // returned notes that the target does not hold a flow.
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -143,6 +143,9 @@
 		b.enqueue(now, h, s, r)
 		return
 	}
+	if !h.queuedAt.IsZero() {
+		b.emit(Effect{Kind: EffectObserve, Latency: LatencyQueue, Took: now.Sub(h.queuedAt)})
+	}
 	h.offer(m)
 	h.enter(stageOpening, m, now)
 	m.opened++
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -199,6 +199,25 @@
 	EffectRegister
 	// EffectReport writes a log line.
 	EffectReport
+	// EffectRefresh asks for a read of the operators' state from the store.
+	EffectRefresh
+	// EffectObserve records Took in the histogram of Latency.
+	EffectObserve
+)
+
+// Latency names a histogram.
+type Latency uint8
+
+// The histograms.
+const (
+	// LatencyHandshake is the time that a target takes to answer an opening
+	// segment.
+	LatencyHandshake Latency = iota
+	// LatencyRequest is the time from a request's first segment to that of the
+	// answer, at the agent.
+	LatencyRequest
+	// LatencyQueue is the time that an opening segment waits at a balancer.
+	LatencyQueue
 )
 
 // Effect is something that a node asks its process to do. Effects are valid
@@ -213,6 +232,8 @@
 	Seq     uint32
 	Record  AgentRecord
 	Report  Report
+	Latency Latency
+	Took    time.Duration
 }
 
 // Report is a log line about a decision.
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -173,7 +173,7 @@
 		w.open()
 	}
 	w.run(300 * time.Millisecond)
-	const queued = 4 * targetSlots
+	const queued = 2 * targetSlots
 	if got := w.agents[0].target.maxBusy; got > queued {
 		t.Errorf("the target had %d requests at once, want at most %d", got, queued)
 	}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -160,6 +160,8 @@
 		case steering.EffectReset:
 			a.out = a.platform.Segments.AppendReset(a.out[:0], e.Flow, e.Seq)
 			a.send(a.outbound, a.out, a.answerTo(e.Flow))
+		case steering.EffectObserve:
+			a.latencies[e.Latency].RecordDuration(e.Took)
 		case steering.EffectRefresh:
 			// Only balancers have these.
 		}
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -194,6 +194,8 @@
 			case b.refresh <- struct{}{}:
 			default: // one is waiting already
 			}
+		case steering.EffectObserve:
+			b.latencies[e.Latency].RecordDuration(e.Took)
 		case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister:
 			// Only agents have these.
 		}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -22,6 +22,13 @@
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
+// Buckets of the latency histograms: 0.5 ms to 8 s, each twice the one before.
+const (
+	latencyFirstBucket  = 500 * time.Microsecond
+	latencyBucketFactor = 2
+	latencyBuckets      = 15
+)
+
 // headerTimeout bounds the reading of an HTTP request's header.
 const headerTimeout = 5 * time.Second
 
@@ -61,6 +68,8 @@
 	metrics  tally.Scope
 	counters nodeCounters
 	reports  reportLimiter
+	// latencies is the histograms by steering.Latency.
+	latencies [3]tally.Histogram
 
 	peer    *net.UDPConn
 	servers []*http.Server
@@ -78,6 +87,12 @@
 		out: make([]byte, 0, maxDatagram), ctx: ctx, cancel: cancel,
 	}
 	n.live.Store(s)
+	buckets := tally.MustMakeExponentialDurationBuckets(latencyFirstBucket, latencyBucketFactor, latencyBuckets)
+	n.latencies = [...]tally.Histogram{
+		steering.LatencyHandshake: metrics.Histogram("direct_handshake_time", buckets),
+		steering.LatencyRequest:   metrics.Histogram("direct_request_time", buckets),
+		steering.LatencyQueue:     metrics.Histogram("direct_queue_time", buckets),
+	}
 	return n
 }
 
