--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"strings"
-
-	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
 // Key describes one setting.
@@ -23,33 +21,52 @@
 	Description string
 	// Required reports that the file must have the key.
 	Required bool
-	// Role is the daemon that reads the key.
-	Role model.Role
+	// Daemon is the daemon that reads the key.
+	Daemon Daemon
 }
 
-// Reference returns every key of the balancer's settings, then every key of
-// the agent's, in the order of the documentation.
-func Reference() []Key {
-	keys := keysOf(model.RoleBalancer, balancerSchema(new(Balancer)))
-	return append(keys, keysOf(model.RoleAgent, agentSchema(new(Agent)))...)
+// Daemon names a daemon as its subcommand does.
+type Daemon string
+
+// The daemons.
+const (
+	DaemonBalancer       Daemon = "balancer"
+	DaemonAgent          Daemon = "agent"
+	DaemonDirectBalancer Daemon = "direct balancer"
+	DaemonDirectAgent    Daemon = "direct agent"
+)
+
+// Daemons returns all daemons in the order of the documentation.
+func Daemons() []Daemon {
+	return []Daemon{DaemonBalancer, DaemonAgent, DaemonDirectBalancer, DaemonDirectAgent}
 }
 
-func keysOf(role model.Role, s schema) []Key {
+// Reference returns every key of each daemon's settings, in the order of the
+// documentation.
+func Reference() []Key {
+	schemas := map[Daemon]schema{
+		DaemonBalancer:       balancerSchema(new(Balancer)),
+		DaemonAgent:          agentSchema(new(Agent)),
+		DaemonDirectBalancer: directBalancerSchema(new(DirectBalancer)),
+		DaemonDirectAgent:    directAgentSchema(new(DirectAgent)),
+	}
 	var keys []Key
-	for _, f := range s.fields {
-		f.Role = role
-		keys = append(keys, f.Key)
+	for _, d := range Daemons() {
+		for _, f := range schemas[d].fields {
+			f.Daemon = d
+			keys = append(keys, f.Key)
+		}
 	}
 	return keys
 }
 
-// Markdown returns the role's keys as a Markdown table.
-func Markdown(role model.Role) string {
+// Markdown returns the daemon's keys as a Markdown table.
+func Markdown(daemon Daemon) string {
 	var b strings.Builder
 	b.WriteString("| Key | Type | Unit | Default | Range | Description |\n")
 	b.WriteString("| --- | --- | --- | --- | --- | --- |\n")
 	for _, k := range Reference() {
-		if k.Role != role {
+		if k.Daemon != daemon {
 			continue
 		}
 		def := "required"
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -6,8 +6,6 @@
 	"reflect"
 	"strings"
 	"testing"
-
-	"amaranthwheel.example/amaranthwheel/internal/model"
 )
 
 var update = flag.Bool("update", false, "rewrite the tables of docs/CONFIGURATION.md")
@@ -22,8 +20,8 @@
 	}
 	text := string(data)
 	want := text
-	for _, role := range []model.Role{model.RoleBalancer, model.RoleAgent} {
-		want = replaceTable(t, want, role)
+	for _, daemon := range Daemons() {
+		want = replaceTable(t, want, daemon)
 	}
 	if *update {
 		if err := os.WriteFile(page, []byte(want), 0o644); err != nil {
@@ -36,42 +34,47 @@
 	}
 }
 
-// replaceTable replaces the text between the role's markers by its table.
-func replaceTable(t *testing.T, text string, role model.Role) string {
+// replaceTable replaces the text between the daemon's markers by its table.
+func replaceTable(t *testing.T, text string, daemon Daemon) string {
 	t.Helper()
-	begin := "<!-- keys of the " + role.String() + " -->\n"
+	begin := "<!-- keys of the " + string(daemon) + " -->\n"
 	const end = "<!-- end of keys -->"
 	before, rest, found := strings.Cut(text, begin)
 	_, after, closed := strings.Cut(rest, end)
 	if !found || !closed {
-		t.Fatalf("the page has no table of the %s", role)
+		t.Fatalf("the page has no table of the %s", daemon)
 	}
-	return before + begin + Markdown(role) + end + after
+	return before + begin + Markdown(daemon) + end + after
 }
 
 // TestTypesAgreeWithReference checks that keys and struct fields are the same.
 func TestTypesAgreeWithReference(t *testing.T) {
-	types := map[model.Role]reflect.Type{
-		model.RoleBalancer: reflect.TypeFor[Balancer](),
-		model.RoleAgent:    reflect.TypeFor[Agent](),
+	types := map[Daemon]reflect.Type{
+		DaemonBalancer:       reflect.TypeFor[Balancer](),
+		DaemonAgent:          reflect.TypeFor[Agent](),
+		DaemonDirectBalancer: reflect.TypeFor[DirectBalancer](),
+		DaemonDirectAgent:    reflect.TypeFor[DirectAgent](),
+	}
+	keys := make(map[Daemon]map[string]bool)
+	for _, d := range Daemons() {
+		keys[d] = make(map[string]bool)
 	}
-	keys := map[model.Role]map[string]bool{model.RoleBalancer: {}, model.RoleAgent: {}}
 	for _, k := range Reference() {
-		keys[k.Role][k.Name] = true
+		keys[k.Daemon][k.Name] = true
 		if k.Type == "" || k.Description == "" || k.Range == "" || k.Required != (k.Default == "") {
-			t.Errorf("%s of the %s is described incompletely: %+v", k.Name, k.Role, k)
+			t.Errorf("%s of the %s is described incompletely: %+v", k.Name, k.Daemon, k)
 		}
 	}
-	for role, typ := range types {
-		delete(keys[role], "secret_file") // another source of Secrets
+	for daemon, typ := range types {
+		delete(keys[daemon], "secret_file") // another source of Secrets
 		for _, name := range tagNames(typ, "") {
-			if !keys[role][name] {
-				t.Errorf("the %s has no key %s", role, name)
+			if !keys[daemon][name] {
+				t.Errorf("the %s has no key %s", daemon, name)
 			}
-			delete(keys[role], name)
+			delete(keys[daemon], name)
 		}
-		if len(keys[role]) > 0 {
-			t.Errorf("keys of the %s without a field: %v", role, keys[role])
+		if len(keys[daemon]) > 0 {
+			t.Errorf("keys of the %s without a field: %v", daemon, keys[daemon])
 		}
 	}
 }
@@ -83,7 +86,7 @@
 		tag := f.Tag.Get("toml")
 		switch {
 		case f.Anonymous:
-		case f.Type == reflect.TypeFor[Store]():
+		case f.Type == reflect.TypeFor[Store](), f.Type == reflect.TypeFor[PolledStore]():
 			out = append(out, tagNames(f.Type, tag+".")...)
 		default:
 			out = append(out, prefix+tag)
