--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -1,9 +1,7 @@
 package steering
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -65,6 +63,8 @@
 	switch e := e.(type) {
 	case *SegmentReceived:
 		a.handleOutbound(now, e.Segment)
+	case *Returned:
+		a.handleReturned(now, e)
 	case *MessageReceived:
 		a.handleMessage(now, e.From, &e.Message)
 	case *Heartbeat:
@@ -88,32 +88,6 @@
 	return a.effects
 }
 
-// balancerLifetime is how long a balancer that does not ask is told of changes.
-const balancerLifetime = 5 * time.Second
-
-// forgetBalancers drops the balancers that no longer ask.
-func (a *Agent) forgetBalancers(now time.Time) {
-	for to, asked := range a.balancers {
-		if now.Sub(asked) > balancerLifetime {
-			delete(a.balancers, to)
-		}
-	}
-}
-
-// tellChange tells the balancers when the agent begins or ceases to open flows,
-// and when it has heard of a newer configuration.
-func (a *Agent) tellChange(now time.Time) {
-	why := a.refusal(now, a.target.service)
-	changed := why != a.told && why != RefusedCold && why != RefusedSilent && why != RefusedBusy
-	if !changed && a.limits.Revision == a.toldRevision {
-		return
-	}
-	a.told, a.toldRevision = why, a.limits.Revision
-	for _, to := range slices.SortedFunc(maps.Keys(a.balancers), netip.AddrPort.Compare) {
-		a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
-	}
-}
-
 func (a *Agent) handleMessage(now time.Time, from netip.AddrPort, msg *Message) {
 	switch msg.Kind {
 	case MessageOpen:
@@ -133,22 +107,6 @@
 	}
 }
 
-// takeLimits keeps the newest limits.
-func (a *Agent) takeLimits(l Limits) {
-	a.memberRevision = max(a.memberRevision, l.MemberRevision)
-	if l.Revision < a.limits.Revision {
-		return
-	}
-	if l.DomainOut != a.limits.DomainOut {
-		why := "back in service"
-		if l.DomainOut {
-			why = "taken out"
-		}
-		a.report(Report{Text: "Failure domain changed.", Node: a.self.Domain, Why: why, Version: int64(l.Revision)})
-	}
-	a.limits = l
-}
-
 // open delivers a segment that opens a flow, or refuses it.
 func (a *Agent) open(now time.Time, from netip.AddrPort, msg *Message) {
 	s := msg.Segment
@@ -250,11 +208,8 @@
 	return VerdictUnsure
 }
 
-// handleOutbound handles a segment that the target sent or returned.
+// handleOutbound handles a segment that the target sent.
 func (a *Agent) handleOutbound(now time.Time, s Segment) {
-	if s.Flags.Has(FlagReturned) {
-		return
-	}
 	a.Counters.Answered.Add(1)
 	if held := a.flows.byFlow[s.Flow]; held != nil && !held.seen {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Took: now.Sub(held.last)})
@@ -274,19 +229,17 @@
 
 func (*Returned) event() {}
 
-// StepReturned handles a returned segment.
-func (a *Agent) StepReturned(now time.Time, r *Returned) []Effect {
-	a.effects = a.effects[:0]
+// handleReturned gives a returned segment back to its balancer.
+func (a *Agent) handleReturned(now time.Time, r *Returned) {
 	s := r.Segment
 	a.Counters.Returned.Add(1)
 	a.flows.returned(now, s.Flow)
 	if s.Opens() {
-		a.send(r.Balancer, Message{Kind: MessageRefused, Refusal: RefusedFull, Segment: s})
-		return a.effects
+		a.refuse(r.Balancer, s, RefusedFull)
+		return
 	}
 	a.report(Report{Text: "Target does not hold the flow.", Flow: s.Flow})
 	a.miss(r.Balancer, s, VerdictAbsent)
-	return a.effects
 }
 
 func (a *Agent) emit(e Effect) { a.effects = append(a.effects, e) }
@@ -301,15 +254,3 @@
 	a.Counters.Delivered.Add(1)
 	a.emit(Effect{Kind: EffectDeliver, Origin: from.Addr(), Segment: s})
 }
-
-// status returns what balancers learn with a pong.
-func (a *Agent) status(now time.Time) Status {
-	t := &a.target
-	return Status{
-		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
-		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
-		PerSecond: uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
-		Flows:     uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
-		Balancers: uint16(min(len(a.balancers), 1<<16-1)),
-	}
-}
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -244,10 +244,16 @@
 	Flow Flow
 	// Why tells what decided, such as a refusal.
 	Why string
-	// Node is the agent concerned.
+	// Node is the agent or the target concerned.
 	Node string
+	// Route is the route of the flow.
+	Route string
+	// Count is the number of flows concerned, Flow is one of them.
+	Count int
 	// Age is how old the information was that decided.
 	Age time.Duration
 	// Version is the configuration in force, if it decided.
 	Version int64
+	// Lifetime is the start of the target's process, in milliseconds since 1970.
+	Lifetime int64
 }
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// rank adds a member to the pair of its group: the own failure domain or others.
+func rank(local, remote *pair, m *member, hash uint64) {
+	if m.local {
+		local.add(m, hash)
+	} else {
+		remote.add(m, hash)
+	}
+}
+
+// first returns the highest ranked member, of the own failure domain if it has
+// one.
+func first(local, remote *pair) *member {
+	if local[0] != nil {
+		return local[0]
+	}
+	return remote[0]
+}
+
 // lighter returns the one with less load, the higher ranked one if equal.
 func (p *pair) lighter(now time.Time) *member {
 	if p[1] != nil && p[1].load(now) < p[0].load(now) {
@@ -89,11 +107,7 @@
 		if t == tierNone || h.offeredTo(m) {
 			continue
 		}
-		if m.local {
-			local[t].add(m, hash)
-		} else {
-			remote[t].add(m, hash)
-		}
+		rank(&local[t], &remote[t], m, hash)
 	}
 	for t := range tierNone {
 		if m := nearest(now, &local[t], &remote[t]); m != nil {
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -27,7 +27,7 @@
 		h.queued = s
 		h.queued.Raw = slices.Clone(s.Raw)
 		b.queue = append(b.queue, s.Flow)
-		b.report(Report{Text: "Flow waits for an agent.", Flow: s.Flow, Why: r.Name, Version: b.Version()})
+		b.report(Report{Text: "Flow waits for an agent.", Flow: s.Flow, Route: r.Name, Version: b.Version()})
 	}
 	h.nOffered = 0
 	h.enter(stageQueued, nil, now)
@@ -36,7 +36,7 @@
 // expire gives up an opening segment. The caller tries again by itself.
 func (b *Balancer) expire(f Flow, r *Route, why string) {
 	b.Counters.OpenExpired.Add(1)
-	b.report(Report{Text: "No agent opens the flow.", Flow: f, Node: r.Name, Why: why, Version: b.Version()})
+	b.report(Report{Text: "No agent opens the flow.", Flow: f, Route: r.Name, Why: why, Version: b.Version()})
 	delete(b.holders, f)
 }
 
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -97,7 +97,7 @@
 // endFlows tells callers that flows have ended with their target.
 func (a *Agent) endFlows(flows []SavedFlow) {
 	if len(flows) > 0 {
-		a.report(Report{Text: "Flows ended with their target.", Flow: flows[0].Flow, Version: int64(len(flows))})
+		a.report(Report{Text: "Flows ended with their target.", Flow: flows[0].Flow, Count: len(flows), Lifetime: a.target.lifetime})
 	}
 	for _, f := range flows {
 		a.Counters.ResetEnded.Add(1)
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// maxGuesses bounds the agents that a segment is sent to before all agents
-	// are asked.
-	maxGuesses = 3
 	// searchTimeout is how long answers are waited for before an unsure agent
 	// tries: several round trips between failure domains.
 	searchTimeout = 60 * time.Millisecond
@@ -87,46 +84,6 @@
 	return n
 }
 
-// guess sends a segment to the likeliest holder that was not tried, or asks
-// all agents.
-func (b *Balancer) guess(now time.Time, h *holding, s Segment) {
-	if h.nOffered < maxGuesses {
-		if m := b.likeliest(now, h, s.Flow); m != nil {
-			b.Counters.Guessed.Add(1)
-			h.offer(m)
-			h.enter(stageGuessing, m, now)
-			b.sendSegment(m, MessageGuess, s)
-			return
-		}
-	}
-	b.ask(now, h, s)
-}
-
-// likeliest returns the highest ranked agent of the flow's service that was
-// not guessed yet, first in the own failure domain.
-func (b *Balancer) likeliest(now time.Time, h *holding, f Flow) *member {
-	r := b.config.route(f.Address)
-	if r == nil {
-		return nil
-	}
-	hash := f.Hash()
-	var local, remote pair
-	for _, m := range b.members.byService[r.pick(hash)] {
-		if h.offeredTo(m) || !m.live(now) {
-			continue
-		}
-		if m.local {
-			local.add(m, hash)
-		} else {
-			remote.add(m, hash)
-		}
-	}
-	if local[0] != nil {
-		return local[0]
-	}
-	return remote[0]
-}
-
 // ask asks all agents who holds a flow.
 func (b *Balancer) ask(now time.Time, h *holding, s Segment) {
 	b.Counters.Searched.Add(1)
@@ -270,27 +227,6 @@
 	}
 }
 
-// unsure returns the highest ranked live agent that answered that it is unsure.
-func (b *Balancer) unsure(now time.Time, q *search, f Flow) *member {
-	hash := f.Hash()
-	var local, remote pair
-	for i := range q.questions {
-		m := q.questions[i].member
-		if q.questions[i].answered.IsZero() || q.questions[i].verdict != VerdictUnsure || !m.live(now) {
-			continue
-		}
-		if m.local {
-			local.add(m, hash)
-		} else {
-			remote.add(m, hash)
-		}
-	}
-	if local[0] != nil {
-		return local[0]
-	}
-	return remote[0]
-}
-
 // resetLost tells the caller that its flow is gone.
 func (b *Balancer) resetLost(now time.Time, h *holding, s Segment) {
 	if now.Sub(h.sent) > lostLifetime {
@@ -303,29 +239,15 @@
 	b.reset(s, "no agent holds the flow")
 }
 
-// handleMissed goes on looking for the holder of a flow that an agent does not
-// hold.
-func (b *Balancer) handleMissed(now time.Time, m *member, msg *Message) {
-	b.Counters.Missed.Add(1)
-	s := msg.Segment
-	h := b.holding(now, s.Flow)
-	switch h.stage {
-	case stageSearching:
-		h.search.keep(s)
-		return
-	case stageLost:
-		b.resetLost(now, h, s)
-		return
-	case stageOpening, stageHeld, stageGuessing, stageTrying:
-		if h.agent != m {
-			// Another agent was found meanwhile; the caller repeats the segment.
-			return
+// unsure returns the highest ranked live agent that answered that it is unsure.
+func (b *Balancer) unsure(now time.Time, q *search, f Flow) *member {
+	hash := f.Hash()
+	var local, remote pair
+	for i := range q.questions {
+		question := &q.questions[i]
+		if !question.answered.IsZero() && question.verdict == VerdictUnsure && question.member.live(now) {
+			rank(&local, &remote, question.member, hash)
 		}
-	case stageNew, stageQueued:
-	}
-	if h.stage != stageGuessing {
-		h.nOffered = 0
 	}
-	h.offer(m)
-	b.guess(now, h, s)
+	return first(&local, &remote)
 }
--- /dev/null
+++ b/internal/core/steering/status.go
@@ -0,0 +1,62 @@
+package steering
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// balancerLifetime is how long a balancer that does not ask is told of changes.
+const balancerLifetime = 5 * time.Second
+
+// forgetBalancers drops the balancers that no longer ask.
+func (a *Agent) forgetBalancers(now time.Time) {
+	for to, asked := range a.balancers {
+		if now.Sub(asked) > balancerLifetime {
+			delete(a.balancers, to)
+		}
+	}
+}
+
+// tellChange tells the balancers when the agent begins or ceases to open flows,
+// and when it has heard of a newer configuration.
+func (a *Agent) tellChange(now time.Time) {
+	why := a.refusal(now, a.target.service)
+	changed := why != a.told && why != RefusedCold && why != RefusedSilent && why != RefusedBusy
+	if !changed && a.limits.Revision == a.toldRevision {
+		return
+	}
+	a.told, a.toldRevision = why, a.limits.Revision
+	for _, to := range slices.SortedFunc(maps.Keys(a.balancers), netip.AddrPort.Compare) {
+		a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
+	}
+}
+
+// takeLimits keeps the newest limits.
+func (a *Agent) takeLimits(l Limits) {
+	a.memberRevision = max(a.memberRevision, l.MemberRevision)
+	if l.Revision < a.limits.Revision {
+		return
+	}
+	if l.DomainOut != a.limits.DomainOut {
+		why := "back in service"
+		if l.DomainOut {
+			why = "taken out"
+		}
+		a.report(Report{Text: "Failure domain changed.", Node: a.self.Domain, Why: why, Version: int64(l.Revision)})
+	}
+	a.limits = l
+}
+
+// status returns what balancers learn with a pong.
+func (a *Agent) status(now time.Time) Status {
+	t := &a.target
+	return Status{
+		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
+		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
+		PerSecond: uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
+		Flows:     uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
+		Balancers: uint16(min(len(a.balancers), 1<<16-1)),
+	}
+}
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -135,7 +135,7 @@
 		age := time.Duration(h.Sequence)*a.self.HeartbeatInterval + heartbeatSlack
 		a.endFlows(a.flows.endBefore(now.Add(-age)))
 	}
-	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Version: h.Lifetime})
+	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Lifetime: h.Lifetime})
 	a.useSaved(now)
 	a.register()
 }
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -355,7 +355,7 @@
 	flow := t.flows[s.Flow]
 	if flow == nil || !flow.open && flow.seq != s.Ack {
 		if a.up {
-			w.carryOutAgent(a, a.core.StepReturned(w.now, &steering.Returned{Segment: s, Balancer: origin}))
+			w.stepAgent(a, &steering.Returned{Segment: s, Balancer: origin})
 		}
 		return
 	}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -25,10 +24,11 @@
 	*node
 	settings  *settings.DirectAgent
 	handler   TargetHandler
-	mu        sync.Mutex // guards core and node.out
-	core      *steering.Agent
+	steering  *steering.Agent // the node's core
 	registrar *registrar
 	outbound  *net.UDPConn
+	// segment is the event of the goroutine that reads the target's segments.
+	segment steering.SegmentReceived
 	// halt ends the registrar and waits for it.
 	halt func()
 }
@@ -39,13 +39,14 @@
 		node:     newNode(&s.Direct, p, "agent", logs, metrics),
 		settings: s,
 		handler:  h,
-		core: steering.NewAgent(steering.AgentSelf{
+		steering: steering.NewAgent(steering.AgentSelf{
 			Self:    steering.Self{Node: string(s.Node), Domain: string(s.Domain)},
 			Service: s.Service, Peer: s.Peer,
 			Epoch:             uint64(time.Now().UnixNano()),
 			HeartbeatInterval: s.HeartbeatInterval,
 		}),
 	}
+	a.core, a.carryOut = a.steering, a.carry
 	a.registrar = &registrar{
 		store: p.Store, key: p.AgentPrefix + string(s.Node), ttl: s.Store.Lease,
 		wanted: make(chan steering.AgentRecord, 1),
@@ -61,7 +62,7 @@
 func (a *Agent) savedFlows() steering.SavedFlows {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.core.Saved()
+	return a.steering.Saved()
 }
 
 // Start opens the sockets and waits for the target.
@@ -114,35 +115,19 @@
 		a.counters.SegmentsMalformed.Add(1)
 		return
 	}
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if s.Flags.Has(steering.FlagReturned) {
-		origin := netip.AddrPortFrom(a.platform.Segments.Origin(raw), a.settings.Peer.Port())
-		a.platform.Segments.ClearReturned(raw)
-		s.Flags &^= steering.FlagReturned
-		a.carryOut(now, a.core.StepReturned(now, &steering.Returned{Segment: s, Balancer: origin}))
+	if !s.Flags.Has(steering.FlagReturned) {
+		a.segment.Segment = s
+		a.step(&a.segment)
 		return
 	}
-	event := steering.SegmentReceived{Segment: s}
-	a.carryOut(now, a.core.Step(now, &event))
-}
-
-func (a *Agent) fromPeer(raw []byte, from netip.AddrPort) {
-	if m, ok := a.decode(raw); ok {
-		a.step(&steering.MessageReceived{From: from, Message: m})
-	}
-}
-
-func (a *Agent) step(e steering.Event) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.carryOut(now, a.core.Step(now, e))
+	origin := netip.AddrPortFrom(a.platform.Segments.Origin(raw), a.settings.Peer.Port())
+	a.platform.Segments.ClearReturned(raw)
+	s.Flags &^= steering.FlagReturned
+	a.step(&steering.Returned{Segment: s, Balancer: origin})
 }
 
-// carryOut carries out the core's effects; a.mu is held.
-func (a *Agent) carryOut(now time.Time, effects []steering.Effect) {
+// carry carries out the core's effects; a.mu is held.
+func (a *Agent) carry(now time.Time, effects []steering.Effect) {
 	for i := range effects {
 		e := &effects[i]
 		switch e.Kind {
@@ -171,14 +156,14 @@
 func (a *Agent) ready() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.core.HasTarget(time.Now())
+	return a.steering.HasTarget(time.Now())
 }
 
 // Stop ends the agent. The record stays if the target lives: another process
 // takes its place.
 func (a *Agent) Stop(ctx context.Context) {
 	a.mu.Lock()
-	lives := a.core.HasTarget(time.Now())
+	lives := a.steering.HasTarget(time.Now())
 	a.mu.Unlock()
 	a.step(&steering.Stop{})
 	a.halt()
@@ -193,7 +178,7 @@
 }
 
 func (a *Agent) countersByName() process.Counters {
-	c := &a.core.Counters
+	c := &a.steering.Counters
 	return process.Counters{
 		"direct_admitted":           &c.Admitted,
 		"direct_refused":            &c.RefusedOpen,
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,13 +31,15 @@
 // Balancer is a running balancer for direct server return.
 type Balancer struct {
 	*node
-	mu       sync.Mutex // guards core, lastSegment and node.out
-	core     *steering.Balancer
+	steering *steering.Balancer // the node's core
 	segments *net.UDPConn
 	stopping atomic.Bool
-	// lastSegment is when a caller's segment came last.
-	lastSegment time.Time
-	refresh     chan struct{}
+	// lastSegment is when a caller's segment came last, in nanoseconds since the
+	// node started.
+	lastSegment atomic.Int64
+	// segment is the event of the goroutine that reads callers' segments.
+	segment steering.SegmentReceived
+	refresh chan struct{}
 	// operators and agents are what the store held last; the follower's
 	// goroutine owns them.
 	operators steering.OperatorState
@@ -47,11 +48,13 @@
 
 // NewBalancer returns a balancer that has not started.
 func NewBalancer(s *settings.DirectBalancer, p Platform, logs *obs.Logs, metrics tally.Scope) *Balancer {
-	return &Balancer{
-		node:    newNode(&s.Direct, p, "balancer", logs, metrics),
-		core:    steering.NewBalancer(steering.Self{Node: string(s.Node), Domain: string(s.Domain)}),
-		refresh: make(chan struct{}, 1),
+	b := &Balancer{
+		node:     newNode(&s.Direct, p, "balancer", logs, metrics),
+		steering: steering.NewBalancer(steering.Self{Node: string(s.Node), Domain: string(s.Domain)}),
+		refresh:  make(chan struct{}, 1),
 	}
+	b.core, b.carryOut = b.steering, b.carry
+	return b
 }
 
 // Start opens the sockets, follows the store and forwards.
@@ -94,7 +97,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	least := b.live.Load().Store.Wait
-	wait := time.Duration(b.core.Balancers()) * least / 2
+	wait := time.Duration(b.steering.Balancers()) * least / 2
 	return min(max(wait, least), maxPollWait)
 }
 
@@ -115,7 +118,7 @@
 func (b *Balancer) changePause() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pause := min(max(time.Duration(b.core.Balancers())*changePausePerBalancer, minChangePause), maxChangePause)
+	pause := min(max(time.Duration(b.steering.Balancers())*changePausePerBalancer, minChangePause), maxChangePause)
 	return pause/2 + rand.N(pause)
 }
 
@@ -156,29 +159,13 @@
 		b.counters.SegmentsMalformed.Add(1)
 		return
 	}
-	event := steering.SegmentReceived{Segment: s}
-	now := time.Now()
-	b.mu.Lock()
-	b.lastSegment = now
-	b.carryOut(now, b.core.Step(now, &event))
-	b.mu.Unlock()
-}
-
-func (b *Balancer) fromPeer(raw []byte, from netip.AddrPort) {
-	if m, ok := b.decode(raw); ok {
-		b.step(&steering.MessageReceived{From: from, Message: m})
-	}
-}
-
-func (b *Balancer) step(e steering.Event) {
-	now := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.carryOut(now, b.core.Step(now, e))
+	b.lastSegment.Store(int64(time.Since(b.started)))
+	b.segment.Segment = s
+	b.step(&b.segment)
 }
 
-// carryOut carries out the core's effects; b.mu is held.
-func (b *Balancer) carryOut(now time.Time, effects []steering.Effect) {
+// carry carries out the core's effects; b.mu is held.
+func (b *Balancer) carry(now time.Time, effects []steering.Effect) {
 	for i := range effects {
 		e := &effects[i]
 		switch e.Kind {
@@ -206,7 +193,7 @@
 func (b *Balancer) ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.stopping.Load() && b.core.Ready(time.Now())
+	return !b.stopping.Load() && b.steering.Ready(time.Now())
 }
 
 // Stop tells routers to send elsewhere and forwards until they do.
@@ -217,9 +204,7 @@
 	b.info("Stopping. Still forwarding.", "for", timeout)
 	for ctx.Err() == nil && time.Since(began) < timeout-stopReserve {
 		sleep(ctx, steering.TickInterval)
-		b.mu.Lock()
-		quiet := time.Since(b.lastSegment) > drainQuiet
-		b.mu.Unlock()
+		quiet := time.Since(b.started)-time.Duration(b.lastSegment.Load()) > drainQuiet
 		if quiet && time.Since(began) > drainLeast {
 			break
 		}
@@ -230,7 +215,7 @@
 }
 
 func (b *Balancer) countersByName() process.Counters {
-	c := &b.core.Counters
+	c := &b.steering.Counters
 	return process.Counters{
 		"direct_opened":             &c.Opened,
 		"direct_queued":             &c.Queued,
--- /dev/null
+++ b/internal/direct/fakestore_test.go
@@ -0,0 +1,173 @@
+package direct
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/store"
+)
+
+// fakeStore is a store in memory with faults.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision store.Revision
+	pairs    map[string]store.KeyValue
+	events   []store.Event
+	oldest   store.Revision // events up to it are forgotten
+	lease    store.LeaseID
+	calls    int
+	// down makes calls fail, silent makes polls wait to their end.
+	down, silent bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, pairs: make(map[string]store.KeyValue)}
+}
+
+func (f *fakeStore) set(key, value string, lease store.LeaseID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	kv := store.KeyValue{Key: key, Value: []byte(value), ModRevision: f.revision, Lease: lease}
+	f.pairs[key] = kv
+	f.events = append(f.events, store.Event{KV: kv})
+}
+
+func (f *fakeStore) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	delete(f.pairs, key)
+	f.events = append(f.events, store.Event{KV: store.KeyValue{Key: key, ModRevision: f.revision}, Deleted: true})
+}
+
+// compact forgets the history.
+func (f *fakeStore) compact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.oldest = f.revision
+	f.events = nil
+}
+
+func (f *fakeStore) fail(down, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down, f.silent = down, silent
+}
+
+func (f *fakeStore) call() error {
+	f.calls++
+	if f.down {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) (store.RangeResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.call(); err != nil {
+		return store.RangeResult{}, err
+	}
+	out := store.RangeResult{Revision: f.revision}
+	for _, key := range slices.Sorted(maps.Keys(f.pairs)) {
+		if strings.HasPrefix(key, prefix) {
+			out.KVs = append(out.KVs, f.pairs[key])
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeStore) Get(_ context.Context, key string, _ bool) (store.KeyValue, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.call(); err != nil {
+		return store.KeyValue{}, false, err
+	}
+	kv, ok := f.pairs[key]
+	return kv, ok, nil
+}
+
+// pollStep is how often a waiting poll looks for events.
+const pollStep = time.Millisecond
+
+func (f *fakeStore) Poll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		events, revision, err := f.since(prefix, after)
+		if err != nil || len(events) > 0 || time.Now().After(deadline) {
+			return events, revision, err
+		}
+		sleep(ctx, pollStep)
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (f *fakeStore) since(prefix string, after store.Revision) ([]store.Event, store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, store.ErrUnavailable
+	}
+	if f.silent {
+		return nil, after, nil
+	}
+	if after < f.oldest {
+		return nil, 0, store.ErrHistoryGone
+	}
+	var out []store.Event
+	for _, e := range f.events {
+		if e.KV.ModRevision > after && strings.HasPrefix(e.KV.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, f.revision, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, p store.Put) error {
+	f.mu.Lock()
+	err := f.call()
+	lapsed := p.Lease != 0 && p.Lease != f.lease
+	f.mu.Unlock()
+	switch {
+	case err != nil:
+		return err
+	case lapsed:
+		return store.ErrLeaseLapsed
+	}
+	f.set(p.Key, string(p.Value), p.Lease)
+	return nil
+}
+
+func (f *fakeStore) Delete(_ context.Context, key string) error {
+	f.remove(key)
+	return nil
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.call(); err != nil {
+		return 0, err
+	}
+	f.lease++
+	return f.lease, nil
+}
+
+func (f *fakeStore) KeepAlive(_ context.Context, id store.LeaseID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.call(); err != nil {
+		return err
+	}
+	if id != f.lease {
+		return store.ErrLeaseLapsed
+	}
+	return nil
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -58,6 +58,11 @@
 	SegmentsMalformed, MessagesMalformed, SendFailed, ReportsSuppressed atomic.Uint64
 }
 
+// core is a decision core of package steering.
+type core interface {
+	Step(now time.Time, e steering.Event) []steering.Effect
+}
+
 // node is what balancers and agents have in common.
 type node struct {
 	settings *settings.Direct
@@ -71,6 +76,15 @@
 	// latencies is the histograms by steering.Latency.
 	latencies [3]tally.Histogram
 
+	mu   sync.Mutex // guards core and out
+	core core
+	// carryOut carries out the core's effects; mu is held.
+	carryOut func(now time.Time, effects []steering.Effect)
+
+	started time.Time
+	// message is the event of the goroutine that reads from other nodes.
+	message steering.MessageReceived
+
 	peer    *net.UDPConn
 	servers []*http.Server
 	out     []byte // a datagram that is being coded
@@ -84,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{
 		settings: s, platform: p, logger: logs.Part(part), metrics: metrics,
-		out: make([]byte, 0, maxDatagram), ctx: ctx, cancel: cancel,
+		out: make([]byte, 0, maxDatagram), started: time.Now(), ctx: ctx, cancel: cancel,
 	}
 	n.live.Store(s)
 	buckets := tally.MustMakeExponentialDurationBuckets(latencyFirstBucket, latencyBucketFactor, latencyBuckets)
@@ -133,7 +147,7 @@
 	}
 }
 
-// sendMessage codes a message and sends it to a node.
+// sendMessage codes a message and sends it to a node; mu is held.
 func (n *node) sendMessage(to netip.AddrPort, m *steering.Message) {
 	n.out = steerwire.Append(n.out[:0], m)
 	n.send(n.peer, n.out, to)
@@ -146,14 +160,23 @@
 	}
 }
 
-// decode decodes a message from another node.
-func (n *node) decode(raw []byte) (steering.Message, bool) {
+// step feeds an event to the core and carries out its effects.
+func (n *node) step(e steering.Event) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carryOut(now, n.core.Step(now, e))
+}
+
+// fromPeer handles a datagram from another node.
+func (n *node) fromPeer(raw []byte, from netip.AddrPort) {
 	m, err := steerwire.Decode(raw, n.platform.Segments.FromCaller)
 	if err != nil {
 		n.counters.MessagesMalformed.Add(1)
-		return m, false
+		return
 	}
-	return m, true
+	n.message.From, n.message.Message = from, m
+	n.step(&n.message)
 }
 
 // answerPort is the port at which callers receive answers.
@@ -175,6 +198,15 @@
 	if r.Node != "" {
 		fields = append(fields, "node", r.Node)
 	}
+	if r.Route != "" {
+		fields = append(fields, "route", r.Route)
+	}
+	if r.Count != 0 {
+		fields = append(fields, "flows", r.Count)
+	}
+	if r.Lifetime != 0 {
+		fields = append(fields, "lifetime", r.Lifetime)
+	}
 	if r.Why != "" {
 		fields = append(fields, "why", r.Why)
 	}
