--- a/Makefile
+++ b/Makefile
@@ -6,21 +6,32 @@
 BIN := bin
 FUZZTIME := 10s
 
-.PHONY: all build test unit race lint format demo measure bench capacity fuzz proto
+SEED := 0
+SEEDS := 1
+
+.PHONY: all build deploy test unit race lint format demo measure bench capacity fuzz proto soak
 
 all: build
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./standin/cmd/...
 
+# Builds as the users' platform does, with the line of the deploy file.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 # Everything that CI checks.
-test: lint build unit race
+test: lint build deploy unit race
+
+# Runs the daemons under random faults; see docs/SOAK.md.
+soak: build
+	$(BIN)/soak -binary $(BIN)/amaranthwheel -seed $(SEED) -seeds $(SEEDS)
 
 unit:
 	go test $(MODULES)
 
 race:
-	go test -race ./internal/core/... ./internal/wire/... ./internal/control/...
+	go test -race ./internal/core/... ./internal/wire/... ./internal/control/... ./internal/direct/...
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
@@ -40,6 +51,7 @@
 	go test -run '^$$' -bench 'Parallel' -benchtime 100000x -cpu 1,2,4 ./internal/balancer
 	go test -run '^$$' -bench 'Change|FullMap' -benchtime 100x ./internal/core/routing
 	go test -run '^$$' -bench . -benchtime 2000x ./internal/core/directory
+	go test -run '^$$' -bench . -benchtime 20000x ./internal/core/steering
 
 # Measures the slopes and rewrites docs/CAPACITY.md.
 capacity:
@@ -60,6 +72,8 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/settings
 	go test -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZTIME) ./internal/control
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/wire
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/steerwire
+	go test -run '^$$' -fuzz FuzzPacket -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/core/directory
 	go test -run '^$$' -fuzz FuzzTxnAnswer -fuzztime $(FUZZTIME) ./internal/store
 	go test -run '^$$' -fuzz FuzzWatchStream -fuzztime $(FUZZTIME) ./internal/store
--- /dev/null
+++ b/standin/soak/run.go
@@ -0,0 +1,305 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+)
+
+// Options configures a run.
+type Options struct {
+	Seed uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// Binary is the daemon's program, Dir receives settings and logs.
+	Binary, Dir string
+	// Balancers, Agents and Callers size the deployment. 2, 4 and 20 if zero.
+	Balancers, Agents, Callers int
+	// Timeline receives a line a fault.
+	Timeline io.Writer
+}
+
+const (
+	// stopPatience is how long a process may take to stop.
+	stopPatience = 6 * time.Second
+	// settle is how long a deployment may take to start, and to recover after
+	// the last fault.
+	settle = 5 * time.Second
+	// openable is the share of flows that must open in the time after that.
+	openable = 0.95
+)
+
+// run is a running soak.
+type run struct {
+	options   Options
+	rand      *rand.Rand
+	began     time.Time
+	kv        *kv
+	balancers []*host
+	agents    []*agentHost
+	fabric    *fabric
+	callers   *callers
+	stopping  atomic.Bool
+	group     sync.WaitGroup
+
+	mu         sync.Mutex
+	lastFault  string
+	violations []error
+}
+
+// Result counts what callers saw.
+type Result struct {
+	Opened, FailedOpens, Answered, Hung, Resets int
+}
+
+// Run runs a deployment under faults and returns what callers saw, with an error
+// for each broken promise.
+func Run(o Options) (Result, error) {
+	r := &run{options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), kv: newKV()}
+	defer r.end()
+	if err := r.start(); err != nil {
+		return Result{}, err
+	}
+	time.Sleep(settle)
+	for end := time.Now().Add(o.For); time.Now().Before(end); {
+		r.fault()
+		time.Sleep(time.Duration(r.rand.IntN(900)) * time.Millisecond)
+	}
+	r.kv.setFaults(kvFaults{})
+	r.group.Go(func() {}) // the group is never empty here
+	time.Sleep(settle)
+	before := r.callers.result()
+	time.Sleep(settle / 2)
+	after := r.callers.result()
+	if opened, failed := after.Opened-before.Opened, after.FailedOpens-before.FailedOpens; float64(opened) < openable*float64(opened+failed) {
+		r.violate("after the last fault %d of %d flows did not open", failed, opened+failed)
+	}
+	if after.Answered == before.Answered {
+		r.violate("after the last fault no request was answered")
+	}
+	r.checkHosts()
+	return after, errors.Join(r.violations...)
+}
+
+func (r *run) start() error {
+	o := &r.options
+	if o.Balancers == 0 {
+		o.Balancers, o.Agents, o.Callers = 2, 4, 20
+	}
+	// Each run has hosts of its own, so that two can run at once.
+	net := int(o.Seed%200) + 20
+	storeIP := fmt.Sprintf("127.%d.0.1", net)
+	storeAddr := fmt.Sprintf("%s:%d", storeIP, portStore)
+	if err := r.kv.serve(storeAddr); err != nil {
+		return err
+	}
+	r.kv.put("op/config", r.configuration(1), 0)
+	for i := range o.Balancers {
+		r.balancers = append(r.balancers, &host{
+			name: fmt.Sprintf("balancer-%d", i), ip: fmt.Sprintf("127.%d.1.%d", net, i+1), domain: "d0", role: "balancer",
+			binary: o.Binary, dir: o.Dir, storeAddr: storeAddr,
+		})
+	}
+	for i := range o.Agents {
+		r.agents = append(r.agents, &agentHost{host: host{
+			name: fmt.Sprintf("agent-%d", i), ip: fmt.Sprintf("127.%d.2.%d", net, i+1), domain: fmt.Sprintf("d%d", i%2), role: "agent",
+			binary: o.Binary, dir: o.Dir, storeAddr: storeAddr,
+		}})
+	}
+	var err error
+	if r.fabric, err = newFabric(r.balancers); err != nil {
+		return err
+	}
+	for _, h := range r.agents {
+		if err := h.start(); err != nil {
+			return err
+		}
+		if h.target, err = startTarget(h); err != nil {
+			return err
+		}
+	}
+	for _, h := range r.balancers {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	r.group.Go(func() { r.fabric.probe(r.stopping.Load) })
+	r.callers, err = startCallers(r, fmt.Sprintf("127.%d.3.1", net), o.Callers)
+	return err
+}
+
+func (r *run) configuration(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"non_idempotent","service":%q}],"services":[{"name":%q,"warmup_per_s":0}]}`,
+		version, serviceName, serviceName)
+}
+
+// fault injects one fault. Those that last are undone in the background, so that
+// faults overlap.
+func (r *run) fault() {
+	b := r.balancers[r.rand.IntN(len(r.balancers))]
+	a := r.agents[r.rand.IntN(len(r.agents))]
+	pause := time.Duration(300+r.rand.IntN(1500)) * time.Millisecond
+	switch r.rand.IntN(10) {
+	case 0:
+		r.restart(b, syscall.SIGTERM)
+	case 1:
+		r.restart(b, syscall.SIGKILL)
+	case 2:
+		r.restart(&a.host, syscall.SIGTERM)
+	case 3:
+		r.restart(&a.host, syscall.SIGKILL)
+	case 4:
+		r.pause(b, pause)
+	case 5:
+		r.pause(&a.host, pause)
+	case 6:
+		r.replaceTarget(a, pause)
+	case 7:
+		faults := []kvFaults{{refuse: true}, {silent: true}, {delay: 200 * time.Millisecond}, {lost: 0.5}}
+		f := faults[r.rand.IntN(len(faults))]
+		r.note("store %+v for %v", f, pause)
+		r.kv.setFaults(f)
+		time.AfterFunc(pause, func() { r.kv.setFaults(kvFaults{}) })
+	case 8:
+		r.note("store forgets its history after a change")
+		r.kv.put("op/config", r.configuration(2+int(time.Since(r.began).Milliseconds())), 0)
+		r.kv.compact()
+	case 9:
+		r.note("settings of %s are read again", b.name)
+		b.signal(syscall.SIGHUP)
+		a.signal(syscall.SIGHUP)
+	}
+}
+
+// restart ends a process and starts it again, in the order of the calls.
+func (r *run) restart(h *host, s syscall.Signal) {
+	r.note("%s gets %v and starts again", h.name, s)
+	h.stop(s, stopPatience)
+	if err := h.start(); err != nil {
+		r.violate("%s does not start: %v", h.name, err)
+	}
+}
+
+func (r *run) pause(h *host, d time.Duration) {
+	r.note("%s is paused for %v", h.name, d)
+	h.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	h.signal(syscall.SIGCONT)
+}
+
+// replaceTarget drains a target, ends it and starts another one.
+func (r *run) replaceTarget(a *agentHost, drain time.Duration) {
+	r.note("the target of %s drains for %v and is replaced", a.name, drain)
+	old := a.target
+	old.mu.Lock()
+	old.draining = true
+	old.mu.Unlock()
+	time.Sleep(drain)
+	if old.mu.Lock(); old.lateOpens > 0 {
+		r.violate("the draining target of %s was sent %d flows later than %v", a.name, old.lateOpens, drainGrace)
+	}
+	old.mu.Unlock()
+	old.end()
+	time.Sleep(100 * time.Millisecond)
+	next, err := startTarget(a)
+	if err != nil {
+		r.violate("the target of %s does not start: %v", a.name, err)
+		return
+	}
+	r.mu.Lock()
+	a.target = next
+	r.mu.Unlock()
+}
+
+// holder returns the host whose target holds an open flow, nil if none does or
+// its processes were disturbed lately.
+func (r *run) holder(f steering.Flow) *agentHost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.agents {
+		if a.target.holds(f) {
+			return a
+		}
+	}
+	return nil
+}
+
+func (r *run) checkHosts() {
+	for _, h := range r.balancers {
+		r.checkHost(h)
+	}
+	for _, a := range r.agents {
+		r.checkHost(&a.host)
+	}
+}
+
+func (r *run) checkHost(h *host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, what := range h.unplanned {
+		r.violate("%s", what)
+	}
+}
+
+// note writes a line of the timeline.
+func (r *run) note(format string, values ...any) {
+	line := fmt.Sprintf("%8.3f s  %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, values...))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastFault = line
+	if r.options.Timeline != nil {
+		_, _ = fmt.Fprintln(r.options.Timeline, line)
+	}
+}
+
+// violate notes a broken promise with the fault before it.
+func (r *run) violate(format string, values ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, fmt.Errorf("%8.3f s: %s (last fault: %s)",
+		time.Since(r.began).Seconds(), fmt.Sprintf(format, values...), strings.TrimSpace(r.lastFault)))
+}
+
+func (c *callers) result() Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Result{Opened: c.opened, FailedOpens: c.failedOpens, Answered: c.answered, Hung: c.hung, Resets: c.resets}
+}
+
+// end ends everything that the run started.
+func (r *run) end() {
+	r.stopping.Store(true)
+	var stops sync.WaitGroup
+	for _, h := range r.balancers {
+		if h.exited != nil {
+			stops.Go(func() { h.stop(syscall.SIGKILL, stopPatience) })
+		}
+	}
+	for _, a := range r.agents {
+		if a.exited != nil {
+			stops.Go(func() { a.stop(syscall.SIGKILL, stopPatience) })
+		}
+		if a.target != nil {
+			a.target.end()
+		}
+	}
+	stops.Wait()
+	r.group.Wait()
+	if r.callers != nil {
+		_ = r.callers.conn.Close()
+	}
+	if r.fabric != nil {
+		_ = r.fabric.conn.Close()
+	}
+	if r.kv.server != nil {
+		_ = r.kv.server.Close()
+	}
+}
