--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -10,6 +10,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/platform"
+	"amaranthwheel.example/amaranthwheel/platform/platformtest"
 )
 
 const (
@@ -23,8 +24,6 @@
 	maxRequests = 60
 )
 
-var routeAddress = steering.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
-
 // callers is the callers of a run: each opens a flow, keeps sending requests over
 // it, and opens another one when it is gone.
 type callers struct {
@@ -94,7 +93,7 @@
 	c.mu.Lock()
 	c.port++
 	local := steering.Endpoint{IP: [4]byte(net.ParseIP(c.ip).To4()), Port: c.port}
-	f := &callerFlow{flow: steering.Flow{Caller: local, Address: routeAddress}, events: make(chan steering.Segment, 64)}
+	f := &callerFlow{flow: steering.Flow{Caller: local, Address: platformtest.Route}, events: make(chan steering.Segment, 64)}
 	c.flows[local.Port] = f
 	c.mu.Unlock()
 	defer func() {
@@ -131,7 +130,7 @@
 		select {
 		case <-repeat.C:
 			if copies < 3 {
-				c.run.fabric.send(f.flow, encode(f.flow.Caller, routeAddress, bitSyn, 1, copies, nil))
+				c.run.fabric.send(f.flow, platformtest.Packet(f.flow.Caller, platformtest.Route, platformtest.Syn, 1, copies, nil))
 			}
 			copies++
 			repeat.Reset(time.Duration(copies) * repeatAfter)
@@ -140,7 +139,7 @@
 				return 0, false
 			}
 			if s.Flags.Has(steering.FlagOpen) {
-				c.run.fabric.send(f.flow, encode(f.flow.Caller, routeAddress, bitAck, 2, s.Seq+1, nil))
+				c.run.fabric.send(f.flow, platformtest.Packet(f.flow.Caller, platformtest.Route, platformtest.Ack, 2, s.Seq+1, nil))
 				return s.Seq + 1, true
 			}
 		case <-end:
@@ -153,7 +152,7 @@
 // can be used on.
 func (c *callers) request(f *callerFlow, ack uint32, number int) bool {
 	data := fmt.Appendf(nil, "%s #%d", f.flow, number)
-	packet := encode(f.flow.Caller, routeAddress, bitAck, 2, ack, data)
+	packet := platformtest.Packet(f.flow.Caller, platformtest.Route, platformtest.Ack, 2, ack, data)
 	end := time.After(requestLimit)
 	pause := repeatAfter
 	repeat := time.NewTimer(0)
--- a/standin/soak/fabric.go
+++ b/standin/soak/fabric.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/platform"
 )
 
 const (
@@ -42,7 +43,7 @@
 	client := &http.Client{Timeout: probeInterval}
 	for !stopping() {
 		for _, h := range f.hosts {
-			response, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", h.ip, portReady))
+			response, err := client.Get(fmt.Sprintf("http://%s:%d%s", h.ip, portReady, platform.ReadyPath))
 			ready := err == nil && response.StatusCode == http.StatusOK
 			if err == nil {
 				_ = response.Body.Close()
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/platform/platformtest"
 )
 
 // Options configures a run.
@@ -42,7 +43,7 @@
 	options   Options
 	rand      *rand.Rand
 	began     time.Time
-	kv        *kv
+	store     *platformtest.Store
 	balancers []*host
 	agents    []*agentHost
 	fabric    *fabric
@@ -63,7 +64,7 @@
 // Run runs a deployment under faults and returns what callers saw, with an error
 // for each broken promise.
 func Run(o Options) (Result, error) {
-	r := &run{options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), kv: newKV()}
+	r := &run{options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), store: platformtest.NewStore()}
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -73,8 +74,7 @@
 		r.fault()
 		time.Sleep(time.Duration(r.rand.IntN(900)) * time.Millisecond)
 	}
-	r.kv.setFaults(kvFaults{})
-	r.group.Go(func() {}) // the group is never empty here
+	r.store.SetFaults(platformtest.Faults{})
 	time.Sleep(settle)
 	before := r.callers.result()
 	time.Sleep(settle / 2)
@@ -98,10 +98,10 @@
 	net := int(o.Seed%200) + 20
 	storeIP := fmt.Sprintf("127.%d.0.1", net)
 	storeAddr := fmt.Sprintf("%s:%d", storeIP, portStore)
-	if err := r.kv.serve(storeAddr); err != nil {
+	if err := r.store.Serve(storeAddr); err != nil {
 		return err
 	}
-	r.kv.put("op/config", r.configuration(1), 0)
+	r.store.Configure(1, serviceName)
 	for i := range o.Balancers {
 		r.balancers = append(r.balancers, &host{
 			name: fmt.Sprintf("balancer-%d", i), ip: fmt.Sprintf("127.%d.1.%d", net, i+1), domain: "d0", role: "balancer",
@@ -136,11 +136,6 @@
 	return err
 }
 
-func (r *run) configuration(version int) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"non_idempotent","service":%q}],"services":[{"name":%q,"warmup_per_s":0}]}`,
-		version, serviceName, serviceName)
-}
-
 // fault injects one fault. Those that last are undone in the background, so that
 // faults overlap.
 func (r *run) fault() {
@@ -163,15 +158,15 @@
 	case 6:
 		r.replaceTarget(a, pause)
 	case 7:
-		faults := []kvFaults{{refuse: true}, {silent: true}, {delay: 200 * time.Millisecond}, {lost: 0.5}}
+		faults := []platformtest.Faults{{Refuse: true}, {Silent: true}, {Delay: 200 * time.Millisecond}, {Lost: 0.5}}
 		f := faults[r.rand.IntN(len(faults))]
 		r.note("store %+v for %v", f, pause)
-		r.kv.setFaults(f)
-		time.AfterFunc(pause, func() { r.kv.setFaults(kvFaults{}) })
+		r.store.SetFaults(f)
+		time.AfterFunc(pause, func() { r.store.SetFaults(platformtest.Faults{}) })
 	case 8:
 		r.note("store forgets its history after a change")
-		r.kv.put("op/config", r.configuration(2+int(time.Since(r.began).Milliseconds())), 0)
-		r.kv.compact()
+		r.store.Configure(2+int(time.Since(r.began).Milliseconds()), serviceName)
+		r.store.Compact()
 	case 9:
 		r.note("settings of %s are read again", b.name)
 		b.signal(syscall.SIGHUP)
@@ -299,7 +294,5 @@
 	if r.fabric != nil {
 		_ = r.fabric.conn.Close()
 	}
-	if r.kv.server != nil {
-		_ = r.kv.server.Close()
-	}
+	_ = r.store.Close()
 }
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -2,16 +2,15 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/platform"
+	"amaranthwheel.example/amaranthwheel/platform/platformtest"
 )
 
 const (
@@ -104,7 +103,7 @@
 	}
 	h := t.flows[s.Flow]
 	if h == nil || !h.open && h.seq+1 != s.Ack {
-		s.Raw[22] |= bitBounced
+		platformtest.Return(s.Raw)
 		t.send(s.Raw)
 		return
 	}
@@ -129,7 +128,7 @@
 		h = &held{seq: rand.Uint32()}
 		t.flows[s.Flow] = h
 	}
-	t.send(encode(s.Flow.Address, s.Flow.Caller, bitSyn|bitAck, h.seq, s.Seq+1, nil))
+	t.send(platformtest.Packet(s.Flow.Address, s.Flow.Caller, platformtest.Syn|platformtest.Ack, h.seq, s.Seq+1, nil))
 }
 
 // answer sends a request's data back.
@@ -140,7 +139,7 @@
 	if t.ended || h == nil {
 		return
 	}
-	t.send(encode(f.Address, f.Caller, bitAck, h.seq+1, 0, data))
+	t.send(platformtest.Packet(f.Address, f.Caller, platformtest.Ack, h.seq+1, 0, data))
 }
 
 func (t *target) send(raw []byte) {
@@ -149,23 +148,18 @@
 
 // beat sends heartbeats to the agent until the target ends.
 func (t *target) beat() {
-	client := &http.Client{Timeout: heartbeatInterval}
+	e := platformtest.Endpoint{
+		Name: t.host.name, Service: serviceName, Zone: t.host.domain, Addr: fmt.Sprintf("%s:%d", t.host.ip, portTarget),
+		Born: t.born, Slots: targetSlots,
+	}
+	agent := fmt.Sprintf("%s:%d", t.host.ip, portAnnounce)
 	for seq := 1; t.alive(); seq++ {
 		t.mu.Lock()
-		state := "ready"
-		if t.draining {
-			state = "draining"
-		}
+		draining := t.draining
 		t.mu.Unlock()
-		body, _ := json.Marshal(map[string]any{
-			"service": serviceName, "addr": fmt.Sprintf("%s:%d", t.host.ip, portTarget), "zone": t.host.domain, "version": "v1",
-			"slots": targetSlots, "state": state, "warmup_left_ms": 0, "seq": seq, "born": t.born,
-		})
-		url := fmt.Sprintf("http://%s:%d/v1/Instances.Heartbeat/i-%s-%d", t.host.ip, portAnnounce, t.host.name, t.born)
-		if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
-			_ = response.Body.Close()
+		if e.Heartbeat(agent, seq, draining, heartbeatInterval) && draining {
 			t.mu.Lock()
-			if state == "draining" && response.StatusCode == http.StatusOK && t.drainedAt.IsZero() {
+			if t.drainedAt.IsZero() {
 				t.drainedAt = time.Now()
 			}
 			t.mu.Unlock()
