--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -27,20 +29,22 @@
 		},
 		Action: run,
 	}
-	if err := command.Run(context.Background(), os.Args); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(_ context.Context, c *cli.Command) error {
+func run(ctx context.Context, c *cli.Command) error {
 	first := c.Uint64("seed")
 	if first == 0 {
 		first = uint64(time.Now().UnixNano()) % 1_000_000
 	}
 	failed := 0
-	for seed := first; seed < first+uint64(c.Int("seeds")); seed++ {
-		if err := runSeed(c, seed); err != nil {
+	for seed := first; ctx.Err() == nil && seed < first+uint64(c.Int("seeds")); seed++ {
+		if err := runSeed(ctx, c, seed); err != nil {
 			failed++
 			fmt.Printf("seed %d FAILED:\n%v\n", seed, err)
 		}
@@ -53,7 +57,7 @@
 }
 
 // runSeed runs one seed. The logs of a seed that passed are removed.
-func runSeed(c *cli.Command, seed uint64) error {
+func runSeed(ctx context.Context, c *cli.Command, seed uint64) error {
 	dir := filepath.Join(c.String("out"), fmt.Sprint(seed))
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return err
@@ -63,7 +67,7 @@
 		return err
 	}
 	defer timeline.Close()
-	result, err := soak.Run(soak.Options{Seed: seed, For: c.Duration("for"), Binary: c.String("binary"), Dir: dir, Timeline: timeline})
+	result, err := soak.Run(ctx, soak.Options{Seed: seed, For: c.Duration("for"), Binary: c.String("binary"), Dir: dir, Timeline: timeline})
 	fmt.Printf("seed %d: %+v\n", seed, result)
 	if err != nil {
 		return fmt.Errorf("%w\nlogs and faults: %s", err, dir)
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -36,10 +37,13 @@
 	settle = 5 * time.Second
 	// openable is the share of flows that must open in the time after that.
 	openable = 0.95
+	// maxPause bounds the pause between two faults, in milliseconds.
+	maxPause = 900
 )
 
 // run is a running soak.
 type run struct {
+	ctx       context.Context
 	options   Options
 	rand      *rand.Rand
 	began     time.Time
@@ -62,22 +66,25 @@
 }
 
 // Run runs a deployment under faults and returns what callers saw, with an error
-// for each broken promise.
-func Run(o Options) (Result, error) {
-	r := &run{options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), store: platformtest.NewStore()}
+// for each broken promise. It ends its processes also when the context ends.
+func Run(ctx context.Context, o Options) (Result, error) {
+	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), store: platformtest.NewStore()}
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
 	}
-	time.Sleep(settle)
-	for end := time.Now().Add(o.For); time.Now().Before(end); {
+	r.sleep(settle)
+	for end := time.Now().Add(o.For); ctx.Err() == nil && time.Now().Before(end); {
 		r.fault()
-		time.Sleep(time.Duration(r.rand.IntN(900)) * time.Millisecond)
+		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
 	r.store.SetFaults(platformtest.Faults{})
-	time.Sleep(settle)
+	r.sleep(settle)
 	before := r.callers.result()
-	time.Sleep(settle / 2)
+	r.sleep(settle / 2)
+	if ctx.Err() != nil {
+		return before, ctx.Err()
+	}
 	after := r.callers.result()
 	if opened, failed := after.Opened-before.Opened, after.FailedOpens-before.FailedOpens; float64(opened) < openable*float64(opened+failed) {
 		r.violate("after the last fault %d of %d flows did not open", failed, opened+failed)
@@ -89,6 +96,14 @@
 	return after, errors.Join(r.violations...)
 }
 
+// sleep waits for the duration or the context's end.
+func (r *run) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.ctx.Done():
+	}
+}
+
 func (r *run) start() error {
 	o := &r.options
 	if o.Balancers == 0 {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	defer timeline.Close()
-	result, err := soak.Run(soak.Options{Seed: *seed, For: 8 * time.Second, Binary: binary, Dir: dir, Timeline: timeline})
+	result, err := soak.Run(t.Context(), soak.Options{Seed: *seed, For: 8 * time.Second, Binary: binary, Dir: dir, Timeline: timeline})
 	t.Logf("%+v", result)
 	if err == nil {
 		return
