--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -136,6 +136,9 @@
 		a.endFlows(a.flows.endBefore(now.Add(-age)))
 	}
 	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Lifetime: h.Lifetime})
+	if h.Service != a.self.Service {
+		a.report(Report{Text: "Target serves another service than the host is meant for.", Node: h.Instance, Why: h.Service})
+	}
 	a.useSaved(now)
 	a.register()
 }
