Try a silent target again

Cause, found by reading: whether the target is silent was asked on every step, and each question used up the opening segment that may go through every 200 ms. A target that had missed one segment could stay silent for as long as nothing else came from it. TestSilentTargetIsTriedAgain failed before.

--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -92,7 +92,8 @@
 	// unanswered is when the oldest opening segment was delivered that the
 	// target has not answered, zero if none.
 	unanswered time.Time
-	probed     time.Time
+	// probed is when an opening segment was delivered last.
+	probed time.Time
 }
 
 func newFlowSection() flowSection {
@@ -127,22 +128,16 @@
 	s.setExpected(opened, true)
 	s.setBusy(opened, true)
 	delete(s.ruled, f)
+	s.probed = now
 	if s.unanswered.IsZero() {
 		s.unanswered = now
 	}
 }
 
-// silent reports whether the target has left opening segments unanswered. A
-// segment now and then is let through to find out.
+// silent reports whether the target has left opening segments unanswered. One
+// more is due every silentRetry, to find out whether it answers again.
 func (s *flowSection) silent(now time.Time) bool {
-	if s.unanswered.IsZero() || now.Sub(s.unanswered) < silentAfter {
-		return false
-	}
-	if now.Sub(s.probed) < silentRetry {
-		return true
-	}
-	s.probed = now
-	return false
+	return !s.unanswered.IsZero() && now.Sub(s.unanswered) >= silentAfter && now.Sub(s.probed) < silentRetry
 }
 
 func (s *flowSection) setExpected(f *flow, expected bool) {
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -359,3 +359,19 @@
 	}
 	return n
 }
+
+// A target that did not answer one opening segment gets another one now and then,
+// although steps of other kinds happen meanwhile.
+func TestSilentTargetIsTriedAgain(t *testing.T) {
+	w, _ := steady(t, 14, 1, 1, 0)
+	only := w.agents[0].target
+	only.deaf = true
+	w.open()
+	w.run(3 * time.Second)
+	only.deaf = false
+	c := w.open()
+	w.run(time.Second)
+	if c.answered != 1 {
+		t.Error("the flow did not open after the target answers again")
+	}
+}
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -98,6 +98,8 @@
 type target struct {
 	up       bool
 	draining bool
+	// deaf loses every segment; heartbeats go on.
+	deaf     bool
 	lifetime int64
 	sequence int64
 	flows    map[steering.Flow]*held
@@ -340,7 +342,7 @@
 // toTarget hands a segment to the target beside an agent.
 func (w *world) toTarget(a *agentNode, s steering.Segment, origin netip.AddrPort) {
 	t := a.target
-	if !t.up {
+	if !t.up || t.deaf {
 		return
 	}
 	w.noteArrival(a, s)
