Keep what an agent knows over two stops in a row and a lost record

An agent that was stopped again 30 ms after its start had not heard of its target yet, took it for ended and deleted its record; the next process found none, took itself for the first one of the target's lifetime, ruled out every flow, and a balancer reset two live ones.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -74,7 +74,7 @@
 	case *PreviousRecord:
 		a.handlePreviousRecord(now, e)
 	case *Registered:
-		a.target.registered = e.Lifetime
+		a.target.registered, a.target.written = e.Lifetime, e.Lifetime
 	case *Stop:
 		a.stopping = true
 	case *Tick:
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -120,6 +120,32 @@
 	return ended
 }
 
+// hold takes saved flows for held, unless more is known of them.
+func (s *flowSection) hold(now time.Time, flows []SavedFlow) {
+	for _, f := range flows {
+		if _, ruledOut := s.ruled[f.Flow]; s.byFlow[f.Flow] == nil && !ruledOut {
+			s.byFlow[f.Flow] = &flow{open: true, unrepeatable: true, ack: f.Ack, last: now}
+		}
+	}
+}
+
+// endSaved forgets saved flows of a target that ended, and returns those that
+// were open. One that the target has sent something of since is a flow of the
+// next lifetime.
+func (s *flowSection) endSaved(flows []SavedFlow) []SavedFlow {
+	var ended []SavedFlow
+	for _, f := range flows {
+		if held := s.byFlow[f.Flow]; held != nil && held.seen {
+			continue
+		}
+		s.drop(f.Flow)
+		if !f.Opening {
+			ended = append(ended, f)
+		}
+	}
+	return ended
+}
+
 // begin notes an opening segment.
 func (s *flowSection) begin(now time.Time, f Flow, unrepeatable bool) {
 	s.drop(f)
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -40,6 +40,10 @@
 // Saved returns the flows to save, in a fixed order: those of unrepeatable
 // requests, or all of an agent that has stopped and knew all.
 func (a *Agent) Saved() SavedFlows {
+	if !a.target.known && a.target.saved != nil {
+		// Nothing has happened since: they are as the last process left them.
+		return *a.target.saved
+	}
 	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete}
 	for f, held := range a.flows.byFlow {
 		if out.Final || held.unrepeatable && held.open && !held.closed && len(out.Flows) < maxSaved {
@@ -67,9 +71,14 @@
 	return true
 }
 
-// restore takes the flows that an earlier process left.
+// restore takes the flows that an earlier process left. Until the target is known
+// they are taken for held: it returns what it does not hold.
 func (a *Agent) restore(now time.Time, s *SavedFlows) {
 	a.target.saved = s
+	if !a.target.known {
+		a.flows.hold(now, s.Flows)
+		a.target.complete = s.Final
+	}
 	a.useSaved(now)
 }
 
@@ -83,14 +92,10 @@
 	a.target.saved = nil
 	switch {
 	case s.Lifetime == a.target.lifetime:
-		for _, f := range s.Flows {
-			if a.flows.byFlow[f.Flow] == nil {
-				a.flows.byFlow[f.Flow] = &flow{open: true, unrepeatable: true, ack: f.Ack, last: now}
-			}
-		}
+		a.flows.hold(now, s.Flows)
 		a.target.complete = a.target.complete || s.Final
 	case s.Lifetime < a.target.lifetime:
-		a.endFlows(slices.DeleteFunc(slices.Clone(s.Flows), func(f SavedFlow) bool { return f.Opening }))
+		a.endFlows(a.flows.endSaved(s.Flows))
 	}
 }
 
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -273,11 +273,11 @@
 	if !a.up {
 		return
 	}
-	if a.killedAt != w.now {
-		w.stepAgent(a, &steering.Stop{})
-		w.saved[a.name] = a.core.Saved()
+	if a.killedAt == w.now {
+		a.up = false
+	} else {
+		stopAgent(w, a)
 	}
-	a.up = false
 	w.after(400*time.Millisecond, func() { w.startAgent(a) })
 }
 
@@ -375,3 +375,33 @@
 		t.Error("the flow did not open after the target answers again")
 	}
 }
+
+// An agent that is stopped again before its target has sent a heartbeat leaves what
+// its successor needs: soak seed 245.
+func TestAgentStoppedTwiceKeepsItsFlows(t *testing.T) {
+	w, callers := steady(t, 15, 2, 4, 60)
+	for _, a := range w.agents {
+		for range 2 {
+			stopAgent(w, a)
+			w.startAgent(a)
+		}
+	}
+	for _, b := range w.balancers {
+		b.up = false
+		w.startBalancer(b)
+	}
+	w.run(100 * time.Millisecond)
+	w.askAll(callers, 3*time.Second)
+	requireAnswers(t, callers, 2)
+}
+
+// stopAgent stops an agent on request, as package direct does.
+func stopAgent(w *world, a *agentNode) {
+	w.stepAgent(a, &steering.Stop{})
+	if a.core.TargetEnded(w.now) {
+		delete(w.records, a.name)
+	} else {
+		w.saved[a.name] = a.core.Saved()
+	}
+	a.up = false
+}
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -66,6 +66,8 @@
 	coldUntil time.Time
 	// registered is the lifetime of the record in the store.
 	registered int64
+	// written is the lifetime of the record that this process has written.
+	written int64
 	// previous is the lifetime that an earlier process of this agent served;
 	// previousKnown is set once it was read.
 	previous      int64
@@ -123,11 +125,11 @@
 	t := &a.target
 	// Flows of a target that started under this process are all known.
 	replaced := t.known
-	complete := replaced || t.previousKnown && t.previous != h.Lifetime
+	complete := replaced || t.complete || t.previousKnown && t.previous != h.Lifetime
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		lifetime: h.Lifetime, since: now, interval: a.self.HeartbeatInterval,
-		registered: t.registered, previous: t.previous, previousKnown: t.previousKnown, complete: complete,
+		registered: t.registered, written: t.written, previous: t.previous, previousKnown: t.previousKnown, complete: complete,
 		saved: t.saved,
 	}
 	if replaced {
@@ -167,7 +169,7 @@
 // the store holds.
 func (a *Agent) register() {
 	t := &a.target
-	if !t.previousKnown || t.registered == t.lifetime {
+	if !t.previousKnown || t.written == t.lifetime {
 		return
 	}
 	a.emit(Effect{Kind: EffectRegister, Record: a.Record()})
@@ -186,6 +188,12 @@
 	return a.target.known && !a.target.gone && now.Sub(a.target.lastBeat) <= missedHeartbeats*a.target.interval
 }
 
+// TargetEnded reports whether the target has ended, as far as the agent knows. An
+// agent that has not heard of its target yet does not know.
+func (a *Agent) TargetEnded(now time.Time) bool {
+	return a.target.known && !a.HasTarget(now)
+}
+
 // handleDeregistered notes the end of the target.
 func (a *Agent) handleDeregistered(d *Deregistered) {
 	if !a.target.known || d.Instance != a.target.instance {
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -94,6 +94,7 @@
 		AgentPrefix:   platform.AgentPrefix,
 		FollowPrefix:  platform.FollowPrefix,
 		FlowPrefix:    platform.FlowPrefix,
+		ServedPrefix:  platform.ServedPrefix,
 		ByOperators:   platform.WrittenByOperators,
 		OperatorState: platform.OperatorState,
 	}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -48,7 +48,7 @@
 	}
 	a.core, a.carryOut = a.steering, a.carry
 	a.registrar = &registrar{
-		store: p.Store, key: p.AgentPrefix + string(s.Node), ttl: s.Store.Lease,
+		store: p.Store, key: p.AgentPrefix + string(s.Node), servedKey: p.ServedPrefix + string(s.Node), ttl: s.Store.Lease,
 		wanted: make(chan steering.AgentRecord, 1),
 		notify: a.step, warn: a.warn, info: a.info,
 	}
@@ -159,22 +159,22 @@
 	return a.steering.HasTarget(time.Now())
 }
 
-// Stop ends the agent. The record stays if the target lives: another process
-// takes its place.
+// Stop ends the agent. The record stays unless the target has ended: another
+// process takes the agent's place.
 func (a *Agent) Stop(ctx context.Context) {
 	a.mu.Lock()
-	lives := a.steering.HasTarget(time.Now())
+	ended := a.steering.TargetEnded(time.Now())
 	a.mu.Unlock()
 	a.step(&steering.Stop{})
 	a.halt()
-	if lives {
-		a.registrar.handOver(ctx)
-	} else {
+	if ended {
 		a.registrar.remove(ctx)
+	} else {
+		a.registrar.handOver(ctx)
 	}
 	_ = a.outbound.Close()
 	a.close()
-	a.info("Stopped.", "target_lives", lives)
+	a.info("Stopped.", "target_ended", ended)
 }
 
 func (a *Agent) countersByName() process.Counters {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -129,7 +129,7 @@
 
 func newRegistrar(s *fakeStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	g := &registrar{
-		store: s, key: "op-agents/a", ttl: time.Minute, wanted: make(chan steering.AgentRecord, 1),
+		store: s, key: "op-agents/a", servedKey: "served/a", ttl: time.Minute, wanted: make(chan steering.AgentRecord, 1),
 		notify: func(e steering.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -173,6 +173,26 @@
 	}
 }
 
+// The record may lapse or be taken away while the agent is down; what it served
+// is known all the same.
+func TestServedLifetimeOutlastsTheRecord(t *testing.T) {
+	s := newFakeStore()
+	var mu sync.Mutex
+	var events []steering.Event
+	g := newRegistrar(s, &events, &mu)
+	ctx := context.Background()
+	record := exampleRecord
+	g.record = &record
+	g.write(ctx)
+	s.remove("op-agents/a")
+	next := newRegistrar(s, &events, &mu)
+	next.readPrevious(ctx)
+	got, ok := events[len(events)-1].(*steering.PreviousRecord)
+	if !ok || !got.Found || got.Record.Lifetime != exampleRecord.Lifetime {
+		t.Errorf("the next process learns %+v", events[len(events)-1])
+	}
+}
+
 // Saved flows that were final are no longer so once a process has read them.
 func TestFinalFlowsAreUsedOnce(t *testing.T) {
 	s := newFakeStore()
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -130,10 +130,13 @@
 	return out, f.revision, nil
 }
 
-func (f *fakeStore) Put(_ context.Context, p store.Put) error {
+func (f *fakeStore) Put(_ context.Context, pairs ...store.Put) error {
 	f.mu.Lock()
 	err := f.call()
-	lapsed := p.Lease != 0 && p.Lease != f.lease
+	lapsed := false
+	for _, p := range pairs {
+		lapsed = lapsed || p.Lease != 0 && p.Lease != f.lease
+	}
 	f.mu.Unlock()
 	switch {
 	case err != nil:
@@ -141,7 +144,9 @@
 	case lapsed:
 		return store.ErrLeaseLapsed
 	}
-	f.set(p.Key, string(p.Value), p.Lease)
+	for _, p := range pairs {
+		f.set(p.Key, string(p.Value), p.Lease)
+	}
 	return nil
 }
 
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -45,8 +45,9 @@
 	// AgentPrefix starts the keys of the agents' records, FollowPrefix these and
 	// those that operators write.
 	AgentPrefix, FollowPrefix string
-	// FlowPrefix starts the keys of the flows that agents save.
-	FlowPrefix string
+	// FlowPrefix starts the keys of the flows that agents save, ServedPrefix those
+	// of the target lifetimes that they have served.
+	FlowPrefix, ServedPrefix string
 	// ByOperators reports whether operators write a key.
 	ByOperators func(key string) bool
 	// OperatorState decodes what operators wrote.
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -23,13 +23,17 @@
 
 // registrar keeps an agent's record in the store.
 type registrar struct {
-	store  store.Polled
-	key    string
-	ttl    time.Duration
-	wanted chan steering.AgentRecord
-	notify func(steering.Event)
-	warn   func(string, error)
-	info   func(string, ...any)
+	store store.Polled
+	key   string
+	// servedKey is a key without lease with the record as it was written last. It
+	// proves that no other process has served a target's lifetime: the record
+	// itself may have lapsed.
+	servedKey string
+	ttl       time.Duration
+	wanted    chan steering.AgentRecord
+	notify    func(steering.Event)
+	warn      func(string, error)
+	info      func(string, ...any)
 
 	lease   store.LeaseID
 	renewed time.Time
@@ -72,7 +76,7 @@
 func (g *registrar) readPrevious(ctx context.Context) {
 	retry := newBackoff()
 	for ctx.Err() == nil {
-		kv, found, err := g.store.Get(ctx, g.key, false)
+		kv, found, err := g.store.Get(ctx, g.servedKey, false)
 		if err != nil {
 			g.failed(err)
 			sleep(ctx, retry.NextBackOff())
@@ -84,7 +88,6 @@
 				g.warn("The agent's own record can't be read.", err)
 				found = false
 			}
-			g.lease = kv.Lease
 		}
 		g.succeeded()
 		if found {
@@ -116,19 +119,29 @@
 	if err != nil {
 		return err
 	}
-	if g.lease == 0 {
-		if g.lease, err = g.store.Grant(ctx, g.ttl); err != nil {
-			return err
-		}
-		g.renewed = time.Now()
+	if err := g.ensureLease(ctx); err != nil {
+		return err
 	}
-	err = g.store.Put(ctx, store.Put{Key: g.key, Value: value, Lease: g.lease})
+	err = g.store.Put(ctx, store.Put{Key: g.key, Value: value, Lease: g.lease}, store.Put{Key: g.servedKey, Value: value})
 	if errors.Is(err, store.ErrLeaseLapsed) {
 		g.lease = 0
 	}
 	return err
 }
 
+// ensureLease takes a lease if there is none.
+func (g *registrar) ensureLease(ctx context.Context) error {
+	if g.lease != 0 {
+		return nil
+	}
+	lease, err := g.store.Grant(ctx, g.ttl)
+	if err != nil {
+		return err
+	}
+	g.lease, g.renewed = lease, time.Now()
+	return nil
+}
+
 // maintain renews the lease and writes the record again if it is gone.
 func (g *registrar) maintain(ctx context.Context) {
 	if g.record == nil {
@@ -183,6 +196,10 @@
 
 // handOver saves the flows for the process that takes the agent's place.
 func (g *registrar) handOver(ctx context.Context) {
+	if err := g.ensureLease(ctx); err != nil {
+		g.warn("The flows could not be handed over.", err)
+		return
+	}
 	if err := g.saver.save(ctx, g.lease); err != nil {
 		g.warn("The flows could not be handed over.", err)
 	}
--- a/internal/store/polled.go
+++ b/internal/store/polled.go
@@ -18,9 +18,9 @@
 	// with the revision to go on from. It returns no events after the wait. It
 	// fails with ErrHistoryGone if the changes are no longer known.
 	Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
-	// Put writes a pair. It fails with ErrLeaseLapsed if its lease has ended,
-	// and with ErrOutcomeUnknown if it may have taken effect.
-	Put(ctx context.Context, p Put) error
+	// Put writes pairs together. It fails with ErrLeaseLapsed if a lease has
+	// ended, and with ErrOutcomeUnknown if it may have taken effect.
+	Put(ctx context.Context, pairs ...Put) error
 	// Delete deletes a key.
 	Delete(ctx context.Context, key string) error
 	// Grant creates a lease.
