Let the caller stand-in's last answers arrive

The load ended at once, and the stand-in closed its control endpoints under the answer to that stop; on a busy machine the answer had not left yet. Not the product.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -28,6 +28,9 @@
 // ErrNoCertificate reports a CA file without a usable certificate.
 var ErrNoCertificate = errors.New("CA file holds no certificate")
 
+// adminShutdown bounds the wait for answers of the control endpoints at the end.
+const adminShutdown = time.Second
+
 // Caller puts load on one service.
 type Caller struct {
 	cfg       Config
@@ -114,7 +117,13 @@
 		"refused", ledger.Counts.Refused, "unknown", ledger.Counts.Unknown, "lost", ledger.Counts.Lost,
 		"broken_flows", ledger.Counts.BrokenFlows, "skipped", c.skipped.Load(), "failed_opens", c.failedOpens.Load())
 	if c.admin != nil {
-		c.admin.Close()
+		// An answer that is on its way, such as that to the stop of the load, has to
+		// arrive.
+		ctx, cancel := context.WithTimeout(context.Background(), adminShutdown)
+		defer cancel()
+		if err := c.admin.Shutdown(ctx); err != nil {
+			c.log.Log("msg", "control endpoints were cut off", "err", err)
+		}
 	}
 	return ledger, c.writeLedger(ledger)
 }
