--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -122,7 +122,7 @@
 		a.carry(now, from, msg)
 	case MessageQuery:
 		a.Counters.Queries.Add(1)
-		verdict := a.verdict(now, msg.Flow, msg.Ack)
+		verdict := a.verdict(msg.Flow, msg.Ack)
 		a.send(from, Message{Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision})
 	case MessagePing:
 		a.balancers[from] = now
@@ -207,7 +207,7 @@
 	if s.Flags.Has(FlagAck) {
 		ack = s.Ack
 	}
-	switch a.verdict(now, s.Flow, ack) {
+	switch a.verdict(s.Flow, ack) {
 	case VerdictHeld:
 		if msg.Kind != MessageCarry {
 			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
@@ -234,15 +234,12 @@
 
 // verdict returns what the agent knows of a flow. A caller's acknowledgement
 // that the target can't have sent belongs to another flow of the same name.
-func (a *Agent) verdict(now time.Time, f Flow, ack uint32) Verdict {
+func (a *Agent) verdict(f Flow, ack uint32) Verdict {
 	if held := a.flows.byFlow[f]; held != nil && held.matches(ack) {
 		return VerdictHeld
 	}
-	if at, ok := a.flows.ruled[f]; ok {
-		if now.Sub(at) < tryWindow {
-			return VerdictTried
-		}
-		return VerdictAbsent
+	if _, ok := a.flows.ruled[f]; ok {
+		return VerdictTried
 	}
 	if a.target.complete {
 		return VerdictAbsent
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -53,9 +53,13 @@
 	last       time.Time
 }
 
-// matches reports whether an acknowledgement may belong to the flow.
+// matches reports whether a segment from the middle of a flow may belong to this
+// one, by its acknowledgement. None does before the target has answered.
 func (f *flow) matches(ack uint32) bool {
-	if ack == 0 || !f.seen {
+	if !f.seen {
+		return f.open
+	}
+	if ack == 0 {
 		return true
 	}
 	distance := int32(ack - f.lastSeq)
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -45,7 +45,8 @@
 	offered  [maxOffers]*member
 	nOffered int
 	search   *search
-	tries    tryBudget
+	// tries counts the unsure agents that got a segment of the flow.
+	tries int
 	// queued is the opening segment that waits since queuedAt.
 	queued   Segment
 	queuedAt time.Time
@@ -209,7 +210,7 @@
 // handleHeld remembers the holder of a flow.
 func (b *Balancer) handleHeld(now time.Time, m *member, f Flow) {
 	h := b.holding(now, f)
-	h.nOffered = 0
+	h.nOffered, h.tries = 0, 0
 	h.enter(stageHeld, m, now)
 	if h.search != nil {
 		kept := h.search.kept
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -50,7 +50,7 @@
 	// VerdictHeld means that the target holds the flow.
 	VerdictHeld
 	// VerdictTried means that the target does not hold the flow, and got a
-	// segment of it within tryWindow to find out.
+	// segment of it to find out.
 	VerdictTried
 )
 
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -11,6 +11,9 @@
 	Flow Flow
 	// Ack is what the caller acknowledged last. A reset has to lie near it.
 	Ack uint32
+	// Opening reports that the handshake was not seen to end: the flow may be
+	// open here, at another target, or nowhere.
+	Opening bool
 }
 
 // SavedFlows is the open flows of a target whose requests must not be repeated,
@@ -18,7 +21,10 @@
 // learn from them that a flow is gone before they send a request into it.
 type SavedFlows struct {
 	Lifetime int64
-	Flows    []SavedFlow
+	// Final reports that these are all flows of the target: they were saved as
+	// the process stopped, and no other has run since.
+	Final bool
+	Flows []SavedFlow
 }
 
 func (*SavedFlows) event() {}
@@ -31,12 +37,13 @@
 // target at the planned size, in a value of 32 KB.
 const maxSaved = 512
 
-// Saved returns the flows to save, in a fixed order.
+// Saved returns the flows to save, in a fixed order: those of unrepeatable
+// requests, or all of an agent that has stopped and knew all.
 func (a *Agent) Saved() SavedFlows {
-	out := SavedFlows{Lifetime: a.target.lifetime}
+	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete}
 	for f, held := range a.flows.byFlow {
-		if held.unrepeatable && held.open && !held.closed && len(out.Flows) < maxSaved {
-			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack})
+		if out.Final || held.unrepeatable && held.open && !held.closed && len(out.Flows) < maxSaved {
+			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack, Opening: !held.open})
 		}
 	}
 	sortSaved(out.Flows)
@@ -49,7 +56,7 @@
 
 // Covers reports whether the saved flows are still good for what is now.
 func (s *SavedFlows) Covers(now *SavedFlows) bool {
-	if s.Lifetime != now.Lifetime || len(s.Flows) != len(now.Flows) {
+	if s.Lifetime != now.Lifetime || s.Final != now.Final || len(s.Flows) != len(now.Flows) {
 		return false
 	}
 	for i := range s.Flows {
@@ -81,8 +88,9 @@
 				a.flows.byFlow[f.Flow] = &flow{open: true, unrepeatable: true, ack: f.Ack, last: now}
 			}
 		}
+		a.target.complete = a.target.complete || s.Final
 	case s.Lifetime < a.target.lifetime:
-		a.endFlows(s.Flows)
+		a.endFlows(slices.DeleteFunc(slices.Clone(s.Flows), func(f SavedFlow) bool { return f.Opening }))
 	}
 }
 
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -20,28 +20,13 @@
 	// maxKept bounds the segments kept during a search; callers repeat others.
 	maxKept = 2
 	// maxTries bounds the targets that may be handed a segment of a flow that
-	// they may not hold, within tryWindow. Three would count as a broken flow.
-	maxTries  = 2
-	tryWindow = 2500 * time.Millisecond
+	// they do not hold. With three the flow would count as misdirected.
+	maxTries = 2
+	// lostLifetime is how long a flow counts as lost before it is looked for
+	// again.
+	lostLifetime = 2500 * time.Millisecond
 )
 
-// tryBudget bounds tries.
-type tryBudget struct {
-	since time.Time
-	used  int
-}
-
-func (t *tryBudget) take(now time.Time) bool {
-	if now.Sub(t.since) > tryWindow {
-		*t = tryBudget{since: now}
-	}
-	if t.used >= maxTries {
-		return false
-	}
-	t.used++
-	return true
-}
-
 // question is what one agent was asked and has answered.
 type question struct {
 	member   *member
@@ -90,12 +75,12 @@
 	return true
 }
 
-// tried returns how many targets have got a segment of the flow lately although
-// they do not hold it, whichever balancer sent it.
-func (q *search) tried(now time.Time) int {
+// tried returns how many targets have got a segment of the flow although they do
+// not hold it, whichever balancer sent it.
+func (q *search) tried() int {
 	n := 0
 	for i := range q.questions {
-		if q.questions[i].verdict == VerdictTried && now.Sub(q.questions[i].answered) < tryWindow {
+		if q.questions[i].verdict == VerdictTried {
 			n++
 		}
 	}
@@ -260,7 +245,8 @@
 	if h.stage != stageSearching || now.Sub(q.began) < searchTimeout {
 		return
 	}
-	if m := b.unsure(now, q, f); m != nil && q.tried(now) < maxTries && h.tries.take(now) {
+	if m := b.unsure(now, q, f); m != nil && max(q.tried(), h.tries) < maxTries {
+		h.tries++
 		b.Counters.Tried.Add(1)
 		s := q.kept[len(q.kept)-1]
 		h.search = nil
@@ -307,7 +293,7 @@
 
 // resetLost tells the caller that its flow is gone.
 func (b *Balancer) resetLost(now time.Time, h *holding, s Segment) {
-	if now.Sub(h.sent) > tryWindow {
+	if now.Sub(h.sent) > lostLifetime {
 		h.enter(stageNew, nil, now)
 		h.nOffered = 0
 		b.guess(now, h, s)
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -48,12 +48,12 @@
 // roleCommand returns the subcommand of one role, which reads its settings
 // and runs until the context ends.
 func roleCommand[S any](name, usage string, load func(string) (*S, error), run func(context.Context, *S) error) *cli.Command {
-	return roleCommandAt("", name, usage, load, run)
+	return roleCommandAt("", name, usage, load, func(ctx context.Context, _ string, s *S) error { return run(ctx, s) })
 }
 
 // roleCommandAt is roleCommand with a default path of the settings; none if it
 // is empty.
-func roleCommandAt[S any](path, name, usage string, load func(string) (*S, error), run func(context.Context, *S) error) *cli.Command {
+func roleCommandAt[S any](path, name, usage string, load func(string) (*S, error), run func(ctx context.Context, path string, s *S) error) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
@@ -70,7 +70,7 @@
 				fmt.Fprintln(c.Root().Writer, "Settings are valid.")
 				return nil
 			}
-			return run(ctx, s)
+			return run(ctx, c.String(flagConfig), s)
 		},
 	}
 }
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -20,38 +20,60 @@
 // directCommand returns the command group of the daemons for direct server
 // return. Logs go to logs.
 func directCommand(logs io.Writer) *cli.Command {
-	path := platform.SettingsPath()
+	defaultPath := platform.SettingsPath()
 	return &cli.Command{
 		Name:  "direct",
 		Usage: "balance flows that end at the targets, on the users' platform",
 		Commands: []*cli.Command{
-			roleCommandAt(path, "balancer", "forward callers' segments, on an entry host", settings.LoadDirectBalancer,
-				func(ctx context.Context, s *settings.DirectBalancer) error { return runDirectBalancer(ctx, logs, s) }),
-			roleCommandAt(path, "agent", "open flows at the target beside it", settings.LoadDirectAgent,
-				func(ctx context.Context, s *settings.DirectAgent) error { return runDirectAgent(ctx, logs, s) }),
+			roleCommandAt(defaultPath, "balancer", "forward callers' segments, on an entry host", settings.LoadDirectBalancer,
+				func(ctx context.Context, path string, s *settings.DirectBalancer) error {
+					return runDirectBalancer(ctx, logs, path, s)
+				}),
+			roleCommandAt(defaultPath, "agent", "open flows at the target beside it", settings.LoadDirectAgent,
+				func(ctx context.Context, path string, s *settings.DirectAgent) error {
+					return runDirectAgent(ctx, logs, path, s)
+				}),
 		},
 	}
 }
 
-func runDirectBalancer(ctx context.Context, logs io.Writer, s *settings.DirectBalancer) error {
+func runDirectBalancer(ctx context.Context, logs io.Writer, path string, s *settings.DirectBalancer) error {
+	file := settingsFile{path, func(path string) (*settings.Direct, error) {
+		read, err := settings.LoadDirectBalancer(path)
+		if err != nil {
+			return nil, err
+		}
+		return &read.Direct, nil
+	}}
 	return runDirect(ctx, "balancer", logs, &s.Direct, fx.Options(
-		fx.Supply(s),
+		fx.Supply(s, file),
 		fx.Provide(direct.NewBalancer),
 		fx.Invoke(register[*direct.Balancer]),
+		fx.Invoke(func(lc fx.Lifecycle, f settingsFile, b *direct.Balancer) { watchSettings(lc, f, b) }),
 	))
 }
 
-func runDirectAgent(ctx context.Context, logs io.Writer, s *settings.DirectAgent) error {
+func runDirectAgent(ctx context.Context, logs io.Writer, path string, s *settings.DirectAgent) error {
+	file := settingsFile{path, func(path string) (*settings.Direct, error) {
+		read, err := settings.LoadDirectAgent(path)
+		if err != nil {
+			return nil, err
+		}
+		return &read.Direct, nil
+	}}
 	return runDirect(ctx, "agent", logs, &s.Direct, fx.Options(
-		fx.Supply(s),
+		fx.Supply(s, file),
 		fx.Provide(newTargetHandler, direct.NewAgent),
 		fx.Invoke(register[*direct.Agent]),
+		fx.Invoke(func(lc fx.Lifecycle, f settingsFile, a *direct.Agent) { watchSettings(lc, f, a) }),
 	))
 }
 
 // runDirect assembles a daemon for direct server return and runs it until the
 // context ends.
-func runDirect(ctx context.Context, name string, logs io.Writer, s *settings.Direct, role fx.Option) error {
+func runDirect(ctx context.Context, name string, out io.Writer, s *settings.Direct, role fx.Option) error {
+	logs := obs.NewQueuedWriter(out)
+	defer logs.Close()
 	return runApp(ctx, s.StopTimeout, fx.Options(
 		obs.WithLogger(),
 		fx.Supply(s),
@@ -63,9 +85,11 @@
 
 // newPlatform returns the platform that the daemons run on.
 func newPlatform(s *settings.Direct, metrics tally.Scope) direct.Platform {
+	kv := platform.NewStore(s.Store.Address, s.Store.Timeout, store.NewTallyCounter(metrics))
 	return direct.Platform{
 		Segments:      platform.Segments{},
-		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout, store.NewTallyCounter(metrics)),
+		Store:         kv,
+		MoveStore:     kv.Move,
 		ReadyPath:     platform.ReadyPath,
 		AgentPrefix:   platform.AgentPrefix,
 		FollowPrefix:  platform.FollowPrefix,
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -29,6 +29,8 @@
 	core      *steering.Agent
 	registrar *registrar
 	outbound  *net.UDPConn
+	// halt ends the registrar and waits for it.
+	halt func()
 }
 
 // NewAgent returns an agent that has not started.
@@ -89,7 +91,16 @@
 	a.group.Go(func() { readAll(a.peer, a.fromPeer) })
 	a.group.Go(func() { a.every(tickEvery, func() { a.step(&steering.Tick{}) }) })
 	a.group.Go(func() { a.countersByName().Report(a.ctx, a.metrics) })
-	a.group.Go(func() { a.registrar.run(a.ctx) })
+	registrarCtx, halt := context.WithCancel(a.ctx)
+	registrarDone := make(chan struct{})
+	a.halt = func() {
+		halt()
+		<-registrarDone
+	}
+	a.group.Go(func() {
+		defer close(registrarDone)
+		a.registrar.run(registrarCtx)
+	})
 	a.info("Agent started.", "node", a.settings.Node, "domain", a.settings.Domain, "target", a.settings.Target)
 	return nil
 }
@@ -168,7 +179,10 @@
 	lives := a.core.HasTarget(time.Now())
 	a.mu.Unlock()
 	a.step(&steering.Stop{})
-	if !lives {
+	a.halt()
+	if lives {
+		a.registrar.handOver(ctx)
+	} else {
 		a.registrar.remove(ctx)
 	}
 	_ = a.outbound.Close()
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -93,8 +93,9 @@
 func (b *Balancer) pollWait() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	wait := time.Duration(b.core.Balancers()) * b.settings.Store.Wait / 2
-	return min(max(wait, b.settings.Store.Wait), maxPollWait)
+	least := b.live.Load().Store.Wait
+	wait := time.Duration(b.core.Balancers()) * least / 2
+	return min(max(wait, least), maxPollWait)
 }
 
 const (
@@ -210,8 +211,9 @@
 func (b *Balancer) Stop(ctx context.Context) {
 	b.stopping.Store(true)
 	began := time.Now()
-	b.info("Stopping. Still forwarding.", "for", b.settings.StopTimeout)
-	for ctx.Err() == nil && time.Since(began) < b.settings.StopTimeout-stopReserve {
+	timeout := b.live.Load().StopTimeout
+	b.info("Stopping. Still forwarding.", "for", timeout)
+	for ctx.Err() == nil && time.Since(began) < timeout-stopReserve {
 		sleep(ctx, steering.TickInterval)
 		b.mu.Lock()
 		quiet := time.Since(b.lastSegment) > drainQuiet
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -31,6 +31,8 @@
 type Platform struct {
 	Segments Segments
 	Store    store.Polled
+	// MoveStore sends further calls to another address.
+	MoveStore func(netip.AddrPort)
 	// ReadyPath is where routers ask whether the node takes traffic.
 	ReadyPath string
 	// AgentPrefix starts the keys of the agents' records, FollowPrefix these and
@@ -52,6 +54,8 @@
 // node is what balancers and agents have in common.
 type node struct {
 	settings *settings.Direct
+	// live is the settings as they were read last.
+	live     atomic.Pointer[settings.Direct]
 	platform Platform
 	logger   log.Logger
 	metrics  tally.Scope
@@ -69,10 +73,12 @@
 
 func newNode(s *settings.Direct, p Platform, part string, logs *obs.Logs, metrics tally.Scope) *node {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &node{
+	n := &node{
 		settings: s, platform: p, logger: logs.Part(part), metrics: metrics,
 		out: make([]byte, 0, maxDatagram), ctx: ctx, cancel: cancel,
 	}
+	n.live.Store(s)
+	return n
 }
 
 // serve answers HTTP requests on an address.
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -181,6 +181,13 @@
 	return true
 }
 
+// handOver saves the flows for the process that takes the agent's place.
+func (g *registrar) handOver(ctx context.Context) {
+	if err := g.saver.save(ctx, g.lease); err != nil {
+		g.warn("The flows could not be handed over.", err)
+	}
+}
+
 // remove takes the record away, as the target is gone.
 func (g *registrar) remove(ctx context.Context) {
 	if err := g.store.Delete(ctx, g.key); err != nil {
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -24,6 +24,7 @@
 // savedDocument is the saved flows as they stand in the store.
 type savedDocument struct {
 	Lifetime int64           `json:"lifetime"`
+	Final    bool            `json:"final,omitempty"`
 	Flows    []savedFlowItem `json:"flows"`
 }
 
@@ -31,12 +32,13 @@
 	Caller  netip.AddrPort `json:"c"`
 	Address netip.AddrPort `json:"a"`
 	Ack     uint32         `json:"k"`
+	Opening bool           `json:"o,omitempty"`
 }
 
 func encodeSaved(s *steering.SavedFlows) ([]byte, error) {
-	doc := savedDocument{Lifetime: s.Lifetime, Flows: make([]savedFlowItem, 0, len(s.Flows))}
+	doc := savedDocument{Lifetime: s.Lifetime, Final: s.Final, Flows: make([]savedFlowItem, 0, len(s.Flows))}
 	for _, f := range s.Flows {
-		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack})
+		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.Opening})
 	}
 	return json.Marshal(doc)
 }
@@ -48,14 +50,15 @@
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return nil, err
 	}
-	out := &steering.SavedFlows{Lifetime: doc.Lifetime}
+	out := &steering.SavedFlows{Lifetime: doc.Lifetime, Final: doc.Final}
 	for _, f := range doc.Flows {
 		caller, ok := steering.EndpointOf(f.Caller)
 		address, ok2 := steering.EndpointOf(f.Address)
 		if !ok || !ok2 {
 			return nil, errNotIPv4
 		}
-		out.Flows = append(out.Flows, steering.SavedFlow{Flow: steering.Flow{Caller: caller, Address: address}, Ack: f.Ack})
+		flow := steering.Flow{Caller: caller, Address: address}
+		out.Flows = append(out.Flows, steering.SavedFlow{Flow: flow, Ack: f.Ack, Opening: f.Opening})
 	}
 	return out, nil
 }
@@ -76,6 +79,14 @@
 		return
 	}
 	v.saved = *s
+	v.saved.Final = false
+	if s.Final {
+		// From now on the saved flows are no longer all, whoever reads them.
+		if err := v.put(ctx, &v.saved, kv.Lease); err != nil {
+			v.warn("The saved flows can't be marked as used.", err)
+			s.Final = false
+		}
+	}
 	v.restore(s)
 }
 
@@ -86,13 +97,17 @@
 	if v.saved.Covers(&now) {
 		return nil
 	}
-	value, err := encodeSaved(&now)
-	if err != nil {
-		return err
-	}
-	if err := v.store.Put(ctx, store.Put{Key: v.key, Value: value, Lease: lease}); err != nil {
+	if err := v.put(ctx, &now, lease); err != nil {
 		return err
 	}
 	v.saved = now
 	return nil
 }
+
+func (v *saver) put(ctx context.Context, s *steering.SavedFlows, lease store.LeaseID) error {
+	value, err := encodeSaved(s)
+	if err != nil {
+		return err
+	}
+	return v.store.Put(ctx, store.Put{Key: v.key, Value: value, Lease: lease})
+}
