--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -110,8 +110,9 @@
 // open delivers a segment that opens a flow, or refuses it.
 func (a *Agent) open(now time.Time, from netip.AddrPort, msg *Message) {
 	s := msg.Segment
-	if held := a.flows.byFlow[s.Flow]; held != nil && s.Ack > 0 {
-		// A copy: the target answers it from the flow that it holds.
+	if held := a.flows.byFlow[s.Flow]; held != nil && !held.closed {
+		// A copy, maybe a late one: the target answers it from the flow that it
+		// holds.
 		a.deliver(from, s)
 		return
 	}
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -14,8 +14,8 @@
 
 // BalancerCounters counts decisions since the start.
 type BalancerCounters struct {
-	Opened, Queued, OpenExpired, Refused, Carried, Guessed, Missed, Searched, Tried atomic.Uint64
-	ResetNoRoute, ResetLost, Unknown, CacheFull                                     atomic.Uint64
+	Opened, OpenStale, Queued, OpenExpired, Refused, Carried, Guessed, Missed, Searched, Tried atomic.Uint64
+	ResetNoRoute, ResetLost, Unknown, CacheFull                                                atomic.Uint64
 }
 
 // Balancer decides where the segments of callers go.
@@ -31,7 +31,10 @@
 	queue       []Flow
 	lastSweep   time.Time
 	lastRefresh time.Time
-	effects     []Effect
+	lastStep    time.Time
+	// woke is when the balancer woke from a suspension last.
+	woke    time.Time
+	effects []Effect
 }
 
 // NewBalancer returns a balancer that knows nothing.
@@ -42,6 +45,7 @@
 // Step handles an event. The effects are valid until the next step.
 func (b *Balancer) Step(now time.Time, e Event) []Effect {
 	b.effects = b.effects[:0]
+	b.noteTime(now)
 	switch e := e.(type) {
 	case *SegmentReceived:
 		b.handleSegment(now, e.Segment)
@@ -57,6 +61,29 @@
 	return b.effects
 }
 
+const (
+	// pauseLimit is the time without a step after which a balancer takes itself
+	// for suspended: many ticks.
+	pauseLimit = time.Second
+	// pauseBacklog is how long it then handles what its sockets had kept.
+	pauseBacklog = 50 * time.Millisecond
+)
+
+// noteTime notes when the balancer wakes from a suspension.
+func (b *Balancer) noteTime(now time.Time) {
+	if !b.lastStep.IsZero() && now.Sub(b.lastStep) > pauseLimit {
+		b.woke = now
+		b.report(Report{Text: "Process was suspended.", Age: now.Sub(b.lastStep)})
+	}
+	b.lastStep = now
+}
+
+// stale reports whether opening segments may be as old as a suspension: their
+// callers have repeated them by other balancers, or given up.
+func (b *Balancer) stale(now time.Time) bool {
+	return !b.woke.IsZero() && now.Sub(b.woke) < pauseBacklog
+}
+
 func (b *Balancer) handleSegment(now time.Time, s Segment) {
 	if !b.config.loaded {
 		return
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -102,18 +102,21 @@
 
 // open places a segment that opens a flow.
 func (b *Balancer) open(now time.Time, s Segment, r *Route) {
+	if b.stale(now) {
+		b.Counters.OpenStale.Add(1)
+		return
+	}
 	h := b.holding(now, s.Flow)
+	copied := s.Ack > 0
 	switch {
-	case h.stage == stageOpening && s.Ack > 0 && h.agent.live(now) && !b.overdue(now, h):
-		b.sendOpen(h.agent, s, r, h.agent.service)
-		return
-	case h.stage == stageHeld && s.Ack > 0:
+	case h.stage == stageHeld,
+		h.stage == stageOpening && copied && h.agent.live(now) && !b.overdue(now, h):
 		b.sendOpen(h.agent, s, r, h.agent.service)
 		return
-	case h.stage == stageOpening && s.Ack > 0:
+	case h.stage == stageOpening && copied:
 		b.offerNext(now, h, s, r)
 		return
-	case h.stage == stageQueued && s.Ack > 0:
+	case h.stage == stageQueued && copied:
 		return
 	}
 	*h = holding{lastSeen: now}
@@ -164,7 +167,13 @@
 	s := msg.Segment
 	b.report(Report{Text: "Agent refused to open the flow.", Flow: s.Flow, Node: m.record.Node, Why: msg.Refusal.String()})
 	h := b.holding(now, s.Flow)
-	if h.stage != stageNew && (h.stage != stageOpening || h.agent != m) {
+	switch h.stage {
+	case stageOpening, stageHeld:
+		if h.agent != m {
+			return
+		}
+	case stageNew:
+	case stageGuessing, stageSearching, stageTrying, stageLost, stageQueued:
 		return
 	}
 	r := b.config.route(s.Flow.Address)
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -313,3 +313,49 @@
 		t.Errorf("%d of %d flows opened late or not at all, want at most %d", late, len(callers), allowed)
 	}
 }
+
+// A balancer that was suspended wakes and handles opening segments of flows that
+// have opened by other ways meanwhile: fleetbench vrts-suva settings-change --vary
+// --seed 1025820344401, FLOW at 25.746 s.
+func TestLateOpeningSegmentsLeaveOpenFlowsAlone(t *testing.T) {
+	w, callers := steady(t, 12, 3, 5, 60)
+	for _, b := range w.balancers {
+		for _, c := range callers {
+			late := steering.Segment{Flow: c.flow, Flags: steering.FlagOpen}
+			w.stepBalancer(b, &steering.SegmentReceived{Segment: late})
+			w.run(time.Millisecond)
+		}
+	}
+	w.run(time.Second)
+	w.askAll(callers, 2*time.Second)
+	requireAnswers(t, callers, 2)
+}
+
+// A balancer that was suspended does not open the flows of callers that have
+// given up meanwhile.
+func TestStaleOpeningSegmentsAreDroppedAfterAPause(t *testing.T) {
+	w, _ := steady(t, 13, 2, 3, 0)
+	b := w.balancers[0]
+	b.up = false
+	w.run(3 * time.Second)
+	b.up = true
+	w.tickBalancer(b, b.epoch)
+	before := opened(w)
+	for i := range 20 {
+		f := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 65, 0, 1}, Port: uint16(1024 + i)}, Address: routeAddress}
+		w.callers[f] = &caller{flow: f, began: w.now}
+		w.stepBalancer(b, &steering.SegmentReceived{Segment: steering.Segment{Flow: f, Flags: steering.FlagOpen}})
+	}
+	w.run(100 * time.Millisecond)
+	if n := opened(w) - before; n != 0 {
+		t.Errorf("%d stale flows were opened", n)
+	}
+}
+
+func opened(w *world) int {
+	n := 0
+	for _, a := range w.agents {
+		n += a.target.opened
+	}
+	return n
+}
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -349,6 +349,9 @@
 			t.flows[s.Flow] = &held{seq: w.rand.Uint32()}
 			t.opened++
 		}
+		if t.flows[s.Flow].open {
+			return // a late copy
+		}
 		w.fromTarget(a, t, steering.Segment{Flow: s.Flow, Flags: steering.FlagOpen | steering.FlagAck, Seq: t.flows[s.Flow].seq})
 		return
 	}
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -219,6 +219,7 @@
 	return process.Counters{
 		"direct_opened":             &c.Opened,
 		"direct_queued":             &c.Queued,
+		"direct_open_stale":         &c.OpenStale,
 		"direct_open_expired":       &c.OpenExpired,
 		"direct_open_refused":       &c.Refused,
 		"direct_carried":            &c.Carried,
