Take an unreadable served entry for unknown, not for absent

Cause: registrar.readPrevious told the core 'no record' when served/NODE could not be decoded. The agent then held its target for never served and answered 'absent' of flows that an earlier process had let in: searches could declare open flows lost.

Test first: TestSpoiltServedEntryRulesNothingOut answered 'absent'; now 'unsure'. What an earlier record proves is decided in one place (earlier.neverServed).

--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -34,12 +34,26 @@
 type Deregistered struct{ Instance string }
 
 // PreviousRecord is the agent's record as an earlier process left it in the
-// store; Found is false if there was none.
+// store; Found is false if there was none. A record that can't be read is Found
+// with lifetime 0.
 type PreviousRecord struct {
 	Found  bool
 	Record AgentRecord
 }
 
+// earlier is what the store holds of the agent's earlier processes.
+type earlier struct {
+	// known is set once the store was read, spoilt if what it held can't be read.
+	known, spoilt bool
+	// lifetime is the target lifetime that was served last, 0 if none.
+	lifetime int64
+}
+
+// neverServed reports whether no earlier process can have served the lifetime.
+func (e earlier) neverServed(lifetime int64) bool {
+	return e.known && !e.spoilt && e.lifetime != lifetime
+}
+
 // Registered reports that the record for a lifetime is in the store.
 type Registered struct{ Lifetime int64 }
 
@@ -68,10 +82,7 @@
 	registered int64
 	// written is the lifetime of the record that this process has written.
 	written int64
-	// previous is the lifetime that an earlier process of this agent served;
-	// previousKnown is set once it was read.
-	previous      int64
-	previousKnown bool
+	earlier earlier
 	// saved is the flows that an earlier process of this agent left, until they
 	// are used.
 	saved *SavedFlows
@@ -125,12 +136,11 @@
 	t := &a.target
 	// Flows of a target that started under this process are all known.
 	replaced := t.known
-	complete := replaced || t.complete || t.previousKnown && t.previous != h.Lifetime
+	complete := replaced || t.complete || t.earlier.neverServed(h.Lifetime)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		lifetime: h.Lifetime, since: now, interval: a.self.HeartbeatInterval,
-		registered: t.registered, written: t.written, previous: t.previous, previousKnown: t.previousKnown, complete: complete,
-		saved: t.saved,
+		registered: t.registered, written: t.written, earlier: t.earlier, complete: complete, saved: t.saved,
 	}
 	if replaced {
 		// The target can't be older than its heartbeats.
@@ -148,20 +158,18 @@
 // handlePreviousRecord learns which lifetime an earlier process served.
 func (a *Agent) handlePreviousRecord(now time.Time, p *PreviousRecord) {
 	t := &a.target
-	if t.previousKnown {
+	if t.earlier.known {
 		return
 	}
-	t.previousKnown = true
+	t.earlier = earlier{known: true, spoilt: p.Found && p.Record.Lifetime == 0}
 	if p.Found {
-		t.previous = p.Record.Lifetime
+		t.earlier.lifetime = p.Record.Lifetime
 		t.registered = p.Record.Lifetime
 	}
 	if !t.known {
 		return
 	}
-	if t.previous != t.lifetime {
-		t.complete = true
-	}
+	t.complete = t.complete || t.earlier.neverServed(t.lifetime)
 	a.register()
 }
 
@@ -169,7 +177,7 @@
 // the store holds.
 func (a *Agent) register() {
 	t := &a.target
-	if !t.previousKnown || t.written == t.lifetime {
+	if !t.earlier.known || t.written == t.lifetime {
 		return
 	}
 	a.emit(Effect{Kind: EffectRegister, Record: a.Record()})
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -193,6 +193,27 @@
 	}
 }
 
+// A served entry that another writer has spoilt proves nothing: the target may be
+// as old as its flows.
+func TestSpoiltServedEntryRulesNothingOut(t *testing.T) {
+	s := newFakeStore()
+	s.set("served/a", "{", 0)
+	var mu sync.Mutex
+	var events []steering.Event
+	newRegistrar(s, &events, &mu).readPrevious(context.Background())
+	agent := steering.NewAgent(steering.AgentSelf{Service: "s", HeartbeatInterval: time.Second})
+	now := time.Unix(1000, 0)
+	for _, e := range events {
+		agent.Step(now, e)
+	}
+	agent.Step(now, &steering.Heartbeat{Instance: "t", Service: "s", Lifetime: 7, Sequence: 40})
+	from := netip.MustParseAddrPort("10.0.0.2:7000")
+	effects := agent.Step(now, &steering.MessageReceived{From: from, Message: steering.Message{Kind: steering.MessageQuery}})
+	if got := effects[0].Message.Verdict; got != steering.VerdictUnsure {
+		t.Errorf("the agent says %v of a flow that it can't know", got)
+	}
+}
+
 // Saved flows that were final are no longer so once a process has read them.
 func TestFinalFlowsAreUsedOnce(t *testing.T) {
 	s := newFakeStore()
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -85,8 +85,9 @@
 		var r steering.AgentRecord
 		if found {
 			if r, err = decodeRecord(kv.Value); err != nil {
+				// Some lifetime was served, it is not known which.
 				g.warn("The agent's own record can't be read.", err)
-				found = false
+				r = steering.AgentRecord{}
 			}
 		}
 		g.succeeded()
