Look after records when a balancer says that they are lost; stretch saves with the fleet

Balancers follow the records anyway.

Now a ping says whether the record is listed and how many agents there are. The agent looks when one says no, or every 3 s while no balancer asks; it saves every 6 s or 120 ms times the agents. Both are decisions of the core (upkeep.go). Stale reads are no longer used; Get lost the parameter.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -34,6 +34,7 @@
 	flows   flowSection
 	limits  Limits
 	cold    coldLimiter
+	upkeep  upkeepSection
 	effects []Effect
 	// balancers are those that have asked lately, with the time.
 	balancers map[netip.AddrPort]time.Time
@@ -81,6 +82,7 @@
 		a.flows.sweep(now)
 		a.watchTarget(now)
 		a.forgetBalancers(now)
+		a.keepRecord(now)
 	case *SavedFlows:
 		a.restore(now, e)
 	}
@@ -101,6 +103,10 @@
 	case MessagePing:
 		a.balancers[from] = now
 		a.takeLimits(msg.Limits)
+		a.upkeep.agents = int(msg.Agents)
+		if msg.Unlisted {
+			a.verify(now, verifyRetry)
+		}
 		a.send(from, Message{Kind: MessagePong, Status: a.status(now)})
 	case MessageRefused, MessageMissed, MessageHeld, MessageAnswer, MessagePong:
 		// Only balancers get these.
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -174,7 +174,10 @@
 
 func (b *Balancer) ping(now time.Time, m *member) {
 	m.lastPing = now
-	b.send(m, Message{Kind: MessagePing, Limits: b.config.limits(m, b.members.revision)})
+	b.send(m, Message{
+		Kind: MessagePing, Limits: b.config.limits(m, b.members.revision),
+		Unlisted: !m.listed, Agents: uint16(min(len(b.members.all), 1<<16-1)),
+	})
 }
 
 // pingEvery returns how often the agent is asked now.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -145,8 +145,13 @@
 	// has heard of.
 	MemberRevision uint64
 	Limits         Limits
-	Status         Status
-	Segment        Segment
+	// Unlisted reports, in a ping, that the store has lost the agent's record, as
+	// far as the balancer knows.
+	Unlisted bool
+	// Agents is, in a ping, the number of agents that the balancer knows.
+	Agents  uint16
+	Status  Status
+	Segment Segment
 }
 
 // AgentRecord is an agent as it registered itself.
@@ -197,6 +202,11 @@
 	EffectAnswer
 	// EffectRegister writes the agent's record.
 	EffectRegister
+	// EffectVerify looks whether the agent's record is in the store, and writes it
+	// again if not.
+	EffectVerify
+	// EffectSave saves the agent's flows.
+	EffectSave
 	// EffectReport writes a log line.
 	EffectReport
 	// EffectRefresh asks for a read of the operators' state from the store.
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -93,6 +93,8 @@
 	up           bool
 	killedAt     time.Time
 	target       *target
+	// looks and saves count what the agent asked of its store.
+	looks, saves int
 }
 
 // target is a fake target: it holds flows and answers each request after
@@ -311,17 +313,29 @@
 		case steering.EffectAnswer:
 			w.toCaller(effect.Segment, a)
 		case steering.EffectRegister:
+			w.after(hopDelay, func() { w.register(a, effect.Record) })
+		case steering.EffectVerify:
+			a.looks++
 			w.after(hopDelay, func() {
-				w.records[a.name] = effect.Record
-				w.storeChanged()
-				if a.up {
-					w.stepAgent(a, &steering.Registered{Lifetime: effect.Record.Lifetime})
+				if _, ok := w.records[a.name]; !ok && a.up {
+					w.register(a, a.core.Record())
 				}
 			})
+		case steering.EffectSave:
+			a.saves++
 		}
 	}
 }
 
+// register writes an agent's record to the store.
+func (w *world) register(a *agentNode, r steering.AgentRecord) {
+	w.records[a.name] = r
+	w.storeChanged()
+	if a.up {
+		w.stepAgent(a, &steering.Registered{Lifetime: r.Lifetime})
+	}
+}
+
 func (w *world) deliverMessage(from, to netip.AddrPort, m steering.Message) {
 	if w.rand.Float64() < w.loss {
 		return
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -49,7 +49,7 @@
 	a.core, a.carryOut = a.steering, a.carry
 	a.registrar = &registrar{
 		store: p.Store, key: p.AgentPrefix + string(s.Node), servedKey: p.ServedPrefix + string(s.Node), ttl: s.Store.Lease,
-		wanted: make(chan steering.AgentRecord, 1),
+		wanted: make(chan steering.AgentRecord, 1), verify: newRequest(), save: newRequest(),
 		notify: a.step, warn: a.warn, info: a.info,
 	}
 	a.registrar.saver = &saver{
@@ -140,6 +140,10 @@
 			a.send(a.outbound, e.Segment.Raw, a.answerTo(e.Segment.Flow))
 		case steering.EffectRegister:
 			a.registrar.want(e.Record)
+		case steering.EffectVerify:
+			a.registrar.verify.ask()
+		case steering.EffectSave:
+			a.registrar.save.ask()
 		case steering.EffectReport:
 			a.report(now, &e.Report)
 		case steering.EffectReset:
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -183,7 +183,7 @@
 			}
 		case steering.EffectObserve:
 			b.latencies[e.Latency].RecordDuration(e.Took)
-		case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister:
+		case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister, steering.EffectVerify, steering.EffectSave:
 			// Only agents have these.
 		}
 	}
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -129,7 +129,7 @@
 
 func newRegistrar(s *fakeStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	g := &registrar{
-		store: s, key: "op-agents/a", servedKey: "served/a", ttl: time.Minute, wanted: make(chan steering.AgentRecord, 1),
+		store: s, key: "op-agents/a", servedKey: "served/a", ttl: time.Minute, wanted: make(chan steering.AgentRecord, 1), verify: newRequest(), save: newRequest(),
 		notify: func(e steering.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -163,8 +163,8 @@
 		t.Fatalf("events are %+v", events)
 	}
 	s.remove("op-agents/a")
-	g.maintain(ctx)
-	kv, found, err := s.Get(ctx, "op-agents/a", false)
+	g.lookAfter(ctx)
+	kv, found, err := s.Get(ctx, "op-agents/a")
 	if !found || err != nil {
 		t.Fatalf("the record is still gone: %v", err)
 	}
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -82,7 +82,7 @@
 	return out, nil
 }
 
-func (f *fakeStore) Get(_ context.Context, key string, _ bool) (store.KeyValue, bool, error) {
+func (f *fakeStore) Get(_ context.Context, key string) (store.KeyValue, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.call(); err != nil {
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -10,17 +10,24 @@
 )
 
 const (
-	// verifyInterval is how often an agent looks whether its record is still in
-	// the store. Balancers that know the agent do not need it; one that starts
-	// does.
-	verifyInterval = 3 * time.Second
-	// saveEvery is how many verifications pass between two saves of the flows.
-	// Callers keep flows for many seconds; more saves cost calls.
-	saveEvery = 2
 	// renewals is how often a lease is renewed within its life.
 	renewals = 3
+	// renewRetry is the pause after a renewal that failed.
+	renewRetry = 3 * time.Second
 )
 
+// request asks for something to be done; several before it is done are one.
+type request chan struct{}
+
+func newRequest() request { return make(request, 1) }
+
+func (r request) ask() {
+	select {
+	case r <- struct{}{}:
+	default: // asked already
+	}
+}
+
 // registrar keeps an agent's record in the store.
 type registrar struct {
 	store store.Polled
@@ -31,16 +38,16 @@
 	servedKey string
 	ttl       time.Duration
 	wanted    chan steering.AgentRecord
-	notify    func(steering.Event)
-	warn      func(string, error)
-	info      func(string, ...any)
+	// verify asks for a look at the record, save for a save of the flows.
+	verify, save request
+	notify       func(steering.Event)
+	warn         func(string, error)
+	info         func(string, ...any)
 
 	lease   store.LeaseID
-	renewed time.Time
 	record  *steering.AgentRecord
 	failing bool
 	saver   *saver
-	rounds  int
 }
 
 // want asks for a record; the last one asked for is kept.
@@ -56,7 +63,7 @@
 // until the context ends.
 func (g *registrar) run(ctx context.Context) {
 	g.readPrevious(ctx)
-	timer := time.NewTimer(verifyInterval)
+	timer := time.NewTimer(g.ttl / renewals)
 	defer timer.Stop()
 	for {
 		select {
@@ -65,9 +72,12 @@
 		case r := <-g.wanted:
 			g.record = &r
 			g.write(ctx)
+		case <-g.verify:
+			g.lookAfter(ctx)
+		case <-g.save:
+			g.saveFlows(ctx)
 		case <-timer.C:
-			g.maintain(ctx)
-			timer.Reset(verifyInterval)
+			timer.Reset(g.renew(ctx))
 		}
 	}
 }
@@ -76,7 +86,7 @@
 func (g *registrar) readPrevious(ctx context.Context) {
 	retry := newBackoff()
 	for ctx.Err() == nil {
-		kv, found, err := g.store.Get(ctx, g.servedKey, false)
+		kv, found, err := g.store.Get(ctx, g.servedKey)
 		if err != nil {
 			g.failed(err)
 			sleep(ctx, retry.NextBackOff())
@@ -139,60 +149,65 @@
 	if err != nil {
 		return err
 	}
-	g.lease, g.renewed = lease, time.Now()
+	g.lease = lease
 	return nil
 }
 
-// maintain renews the lease and writes the record again if it is gone.
-func (g *registrar) maintain(ctx context.Context) {
+// lookAfter writes the record again if it is gone.
+func (g *registrar) lookAfter(ctx context.Context) {
 	if g.record == nil {
 		return
 	}
-	if time.Since(g.renewed) > g.ttl/renewals {
-		if !g.renew(ctx) {
-			return
-		}
-	}
-	kv, found, err := g.store.Get(ctx, g.key, true)
+	kv, found, err := g.store.Get(ctx, g.key)
 	switch {
 	case err != nil:
 		g.failed(err)
 	case !found || kv.Lease != g.lease:
-		// A stale read may be older than the record; writing it again is
-		// harmless.
 		g.info("The record is gone. Writing it again.", "key", g.key)
 		g.lease = 0
 		g.write(ctx)
 	default:
 		g.succeeded()
-		g.save(ctx)
 	}
 }
 
-// save saves the flows in every few rounds.
-func (g *registrar) save(ctx context.Context) {
-	if g.rounds++; g.rounds%saveEvery != 0 {
+// saveFlows saves the flows once. They hang on the record's lease.
+func (g *registrar) saveFlows(ctx context.Context) {
+	if g.lease == 0 {
 		return
 	}
-	if err := g.saver.save(ctx, g.lease); err != nil {
+	switch err := g.saver.save(ctx, g.lease); {
+	case errors.Is(err, store.ErrLeaseLapsed):
+		g.lapsed(ctx)
+	case err != nil:
 		g.failed(err)
+	default:
+		g.succeeded()
 	}
 }
 
-// renew renews the lease and reports whether the record may still be there.
-func (g *registrar) renew(ctx context.Context) bool {
-	err := g.store.KeepAlive(ctx, g.lease)
-	switch {
+// renew renews the lease and returns when to do so again.
+func (g *registrar) renew(ctx context.Context) time.Duration {
+	if g.lease == 0 {
+		return renewRetry
+	}
+	switch err := g.store.KeepAlive(ctx, g.lease); {
 	case errors.Is(err, store.ErrLeaseLapsed):
-		g.lease = 0
-		g.write(ctx)
-		return false
+		g.lapsed(ctx)
 	case err != nil:
 		g.failed(err)
-		return false
+		return renewRetry
+	default:
+		g.succeeded()
 	}
-	g.renewed = time.Now()
-	return true
+	return g.ttl / renewals
+}
+
+// lapsed writes the record again, as it went with its lease.
+func (g *registrar) lapsed(ctx context.Context) {
+	g.info("The lease has lapsed. Writing the record again.", "key", g.key)
+	g.lease = 0
+	g.write(ctx)
 }
 
 // handOver saves the flows for the process that takes the agent's place.
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -65,7 +65,7 @@
 
 // load reads the flows of an earlier process once: later they are of no use.
 func (v *saver) load(ctx context.Context) {
-	kv, found, err := v.store.Get(ctx, v.key, false)
+	kv, found, err := v.store.Get(ctx, v.key)
 	if err != nil {
 		v.warn("The saved flows can't be read.", err)
 		return
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -17,9 +17,6 @@
 // segment: whether its requests must not be repeated) and service.
 const headerSize = 8
 
-// MaxHeader is the length that a segment grows by, in bytes.
-const MaxHeader = headerSize
-
 var (
 	errShort   = errors.New("datagram is too short")
 	errVersion = errors.New("datagram has another version")
@@ -32,8 +29,8 @@
 // Append appends the coded message.
 func Append(buf []byte, m *steering.Message) []byte {
 	reason := byte(m.Refusal)
-	if m.Unrepeatable {
-		reason = 1
+	if m.Kind == steering.MessageOpen {
+		reason = flag(m.Unrepeatable)
 	}
 	buf = append(buf, version, byte(m.Kind), byte(m.Verdict), reason)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(m.Service))
@@ -43,7 +40,9 @@
 		buf = binary.BigEndian.AppendUint32(buf, m.Ack)
 		return binary.BigEndian.AppendUint64(buf, m.MemberRevision)
 	case steering.MessagePing:
-		return appendLimits(buf, &m.Limits)
+		buf = appendLimits(buf, &m.Limits)
+		buf = append(buf, flag(m.Unlisted))
+		return binary.BigEndian.AppendUint16(buf, m.Agents)
 	case steering.MessagePong:
 		return appendStatus(buf, &m.Status)
 	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
@@ -60,14 +59,17 @@
 	return buf
 }
 
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 func appendLimits(buf []byte, l *steering.Limits) []byte {
 	buf = binary.BigEndian.AppendUint64(buf, l.Revision)
 	buf = binary.BigEndian.AppendUint64(buf, l.MemberRevision)
-	out := byte(0)
-	if l.DomainOut {
-		out = 1
-	}
-	buf = append(buf, out)
+	buf = append(buf, flag(l.DomainOut))
 	return binary.BigEndian.AppendUint32(buf, math.Float32bits(l.ColdPerSecond))
 }
 
@@ -86,7 +88,7 @@
 // Lengths of what follows the header, in bytes.
 const (
 	flowSize   = 24
-	limitsSize = 21
+	pingSize   = 24
 	statusSize = 33
 )
 
@@ -122,7 +124,7 @@
 		m.Ack = binary.BigEndian.Uint32(body[12:])
 		m.MemberRevision = binary.BigEndian.Uint64(body[16:])
 	case steering.MessagePing:
-		if len(body) < limitsSize {
+		if len(body) < pingSize {
 			return errShort
 		}
 		m.Limits = steering.Limits{
@@ -131,6 +133,8 @@
 			DomainOut:      body[16] != 0,
 			ColdPerSecond:  math.Float32frombits(binary.BigEndian.Uint32(body[17:])),
 		}
+		m.Unlisted = body[21] != 0
+		m.Agents = binary.BigEndian.Uint16(body[22:])
 	case steering.MessagePong:
 		if len(body) < statusSize {
 			return errShort
--- a/internal/store/polled.go
+++ b/internal/store/polled.go
@@ -11,9 +11,8 @@
 	// List reads all pairs under a prefix. The revision is that of the first
 	// page: a Poll after it reports all that changed since.
 	List(ctx context.Context, prefix string) (RangeResult, error)
-	// Get reads a pair; false means that there is none. A stale read is cheap
-	// and may be seconds old.
-	Get(ctx context.Context, key string, stale bool) (KeyValue, bool, error)
+	// Get reads a pair; false means that there is none.
+	Get(ctx context.Context, key string) (KeyValue, bool, error)
 	// Poll waits for changes under a prefix after a revision and returns them
 	// with the revision to go on from. It returns no events after the wait. It
 	// fails with ErrHistoryGone if the changes are no longer known.
