--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -126,7 +126,7 @@
 // overdue reports whether the agent of an opening flow has had time to answer
 // a ping since the offer and has not.
 func (b *Balancer) overdue(now time.Time, h *holding) bool {
-	return now.Sub(h.sent) > reofferAfter && h.agent.lastPong.Before(h.sent.Add(-pingInterval))
+	return now.Sub(h.sent) > reofferAfter && h.agent.lastPong.Before(h.sent.Add(-h.agent.pingEvery(now)))
 }
 
 // sendOpen offers an opening segment to an agent.
@@ -152,6 +152,7 @@
 	h.offer(m)
 	h.enter(stageOpening, m, now)
 	m.opened++
+	m.want(now)
 	b.Counters.Opened.Add(1)
 	b.sendOpen(m, s, r, service)
 }
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// pingInterval is how often a balancer asks each agent for its status. A
-	// shorter one finds dead agents sooner and costs messages.
+	// pingInterval is how often a balancer asks an agent that it uses for its
+	// status. A shorter one finds dead agents sooner and costs messages.
 	pingInterval = 500 * time.Millisecond
 	// seekInterval is how often an agent is asked that has not answered lately:
 	// after a loss of power, service begins with its first answer.
@@ -58,6 +58,9 @@
 	// that were sent to the agent since.
 	work, opened int
 	loadAt       time.Time
+	// wantedSince and wantedUntil bound the time in which an agent of another
+	// failure domain is wanted.
+	wantedSince, wantedUntil time.Time
 	// full is set when the agent refuses a flow as its target has all the work that
 	// it can queue, until it says how much there is: it invites whom it has refused.
 	full bool
@@ -67,7 +70,7 @@
 
 // live reports whether the agent has answered lately.
 func (m *member) live(now time.Time) bool {
-	return !m.lastPong.IsZero() && now.Sub(m.lastPong) < suspectAfter
+	return !m.lastPong.IsZero() && now.Sub(m.lastPong) < m.patience(now)
 }
 
 // lastHeard returns when the agent answered last, or when it became known.
@@ -185,7 +188,10 @@
 
 // pingEvery returns how often the agent is asked now.
 func (m *member) pingEvery(now time.Time) time.Duration {
-	if silence := now.Sub(m.lastHeard()); !m.live(now) && silence < seekTime {
+	switch {
+	case !m.wanted(now):
+		return farPingInterval
+	case !m.live(now) && now.Sub(m.lastHeard()) < seekTime:
 		return seekInterval
 	}
 	return pingInterval
@@ -193,6 +199,7 @@
 
 // pingDue asks the agents whose last ping is old enough.
 func (b *Balancer) pingDue(now time.Time) {
+	b.wantFar(now)
 	for _, m := range b.members.all {
 		if now.Sub(m.lastPing) >= m.pingEvery(now) {
 			b.ping(now, m)
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -95,6 +95,8 @@
 	target       *target
 	// looks and saves count what the agent asked of its store.
 	looks, saves int
+	// pings counts what balancers asked.
+	pings int
 }
 
 // target is a fake target: it holds flows and answers each request after
@@ -349,6 +351,9 @@
 		}
 		for _, a := range w.agents {
 			if a.addr == to && a.up {
+				if m.Kind == steering.MessagePing {
+					a.pings++
+				}
 				w.stepAgent(a, e)
 			}
 		}
