Tell operators what balancers and agents believe: amaranthctl direct

Status and explain ask one live host at its metrics address, then those that it names: an on-call engineer needs neither the store nor a list of hosts. Shown are the configuration in force with its age, flows, waiting ones, each target's state; for a flow, what each host knows of it.

Tests: walk over two hosts and a silent one, bad input, views over HTTP, views in virtual time agree on a flow.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -176,11 +176,7 @@
 // carry delivers a segment from the middle of a flow, or returns it.
 func (a *Agent) carry(now time.Time, from netip.AddrPort, msg *Message) {
 	s := msg.Segment
-	var ack uint32
-	if s.Flags.Has(FlagAck) {
-		ack = s.Ack
-	}
-	switch a.verdict(s.Flow, ack) {
+	switch a.verdict(s.Flow, s.Acked()) {
 	case VerdictHeld:
 		if msg.Kind != MessageCarry {
 			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -170,10 +170,6 @@
 	if s.Flags.Has(FlagReset) {
 		return
 	}
-	var seq uint32
-	if s.Flags.Has(FlagAck) {
-		seq = s.Ack
-	}
-	b.emit(Effect{Kind: EffectReset, Flow: s.Flow, Seq: seq})
+	b.emit(Effect{Kind: EffectReset, Flow: s.Flow, Seq: s.Acked()})
 	b.report(Report{Text: "Flow is reset.", Flow: s.Flow, Why: why, Version: b.Version()})
 }
--- a/internal/core/steering/flow.go
+++ b/internal/core/steering/flow.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net/netip"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -40,6 +42,30 @@
 // String returns the flow as it stands in log lines.
 func (f Flow) String() string { return f.Caller.String() + ">" + f.Address.String() }
 
+var errFlow = errors.New("want caller>address, each IP:PORT with IPv4")
+
+// ParseFlow parses a flow as it stands in log lines.
+func ParseFlow(s string) (Flow, error) {
+	caller, address, ok := strings.Cut(s, ">")
+	if !ok {
+		return Flow{}, errFlow
+	}
+	from, err := netip.ParseAddrPort(caller)
+	if err != nil {
+		return Flow{}, errFlow
+	}
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return Flow{}, errFlow
+	}
+	x, ok := EndpointOf(from)
+	y, ok2 := EndpointOf(to)
+	if !ok || !ok2 {
+		return Flow{}, errFlow
+	}
+	return Flow{Caller: x, Address: y}, nil
+}
+
 // Hash returns the hash by which agents are ranked for the flow.
 func (f Flow) Hash() uint64 {
 	var b [12]byte
@@ -78,5 +104,13 @@
 	Raw []byte
 }
 
+// Acked returns what the sender acknowledges, 0 if it acknowledges nothing.
+func (s *Segment) Acked() uint32 {
+	if s.Flags.Has(FlagAck) {
+		return s.Ack
+	}
+	return 0
+}
+
 // Opens reports whether the segment opens a flow.
 func (s *Segment) Opens() bool { return s.Flags&(FlagOpen|FlagAck) == FlagOpen }
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -83,6 +83,8 @@
 type configSection struct {
 	state  OperatorState
 	loaded bool
+	// confirmed is when the store confirmed the state last.
+	confirmed time.Time
 }
 
 // load takes a newer state and reports whether something in it has changed.
@@ -123,6 +125,7 @@
 
 // loadConfiguration brings the configuration into force and tells agents.
 func (b *Balancer) loadConfiguration(now time.Time, s OperatorState) {
+	b.config.confirmed = now
 	if !b.config.load(s) {
 		return
 	}
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -87,11 +87,8 @@
 // ask asks all agents who holds a flow.
 func (b *Balancer) ask(now time.Time, h *holding, s Segment) {
 	b.Counters.Searched.Add(1)
-	q := &search{began: now}
+	q := &search{began: now, ack: s.Acked()}
 	q.keep(s)
-	if s.Flags.Has(FlagAck) {
-		q.ack = s.Ack
-	}
 	h.search = q
 	h.enter(stageSearching, nil, now)
 	b.searches = append(b.searches, s.Flow)
--- a/internal/core/steering/upkeep_test.go
+++ b/internal/core/steering/upkeep_test.go
@@ -65,3 +65,23 @@
 		}
 	}
 }
+
+// Operators see the same flow at its holder and at the balancer that carries it.
+func TestViewsAgreeOnAFlow(t *testing.T) {
+	w, callers := steady(t, 23, 1, 3, 5)
+	b := w.balancers[0].core
+	for _, c := range callers {
+		at := b.Explain(w.now, c.flow)
+		if !at.Known || at.Holder == "" {
+			t.Fatalf("the balancer knows %+v of flow %s", at, c.flow)
+		}
+		for _, a := range w.agents {
+			if got := a.core.Explain(w.now, c.flow); got.Known != (a.name == at.Holder) {
+				t.Errorf("agent %s knows %+v of flow %s, which %s holds", a.name, got, c.flow, at.Holder)
+			}
+		}
+	}
+	if v := b.View(w.now); v.Version != 1 || len(v.Peers) != 3 || v.Flows != 5 || !v.Peers[0].Listed || v.Peers[0].HeardMS < 0 {
+		t.Errorf("the balancer believes %+v", v)
+	}
+}
--- /dev/null
+++ b/internal/core/steering/view.go
@@ -0,0 +1,163 @@
+package steering
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// View is what a balancer or an agent believes now, for operators.
+type View struct {
+	Role   string `json:"role"`
+	Node   string `json:"node"`
+	Domain string `json:"domain"`
+	// Version is the configuration in force at a balancer, 0 if none is.
+	Version int64 `json:"version,omitempty"`
+	// Revision is that of the operators' last change that is known.
+	Revision uint64 `json:"revision"`
+	// ConfirmedMS is how long ago the store confirmed it to a balancer.
+	ConfirmedMS int64    `json:"confirmed_ms,omitempty"`
+	DomainsOut  []string `json:"domains_out,omitempty"`
+	// Flows is the number of flows that are known, Waiting that of the opening
+	// ones that no agent has taken.
+	Flows   int `json:"flows"`
+	Waiting int `json:"waiting,omitempty"`
+	// Target is the target beside an agent, as far as it is known.
+	Target *TargetView `json:"target,omitempty"`
+	// Refusal is why an agent opens no flows now, "none" if it does.
+	Refusal string     `json:"refusal,omitempty"`
+	Peers   []PeerView `json:"peers"`
+}
+
+// TargetView is the target beside an agent.
+type TargetView struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	// Lifetime is the target's start, in milliseconds since 1970.
+	Lifetime int64 `json:"lifetime"`
+	Draining bool  `json:"draining"`
+	Slots    int   `json:"slots"`
+	// Work is the requests waiting or in work.
+	Work int `json:"work"`
+	// HeardMS is the age of the last heartbeat.
+	HeardMS int64 `json:"heard_ms"`
+	// Complete reports that the agent has seen all flows of this lifetime.
+	Complete bool `json:"complete"`
+}
+
+// PeerView is an agent that a balancer knows, or a balancer that has asked an
+// agent.
+type PeerView struct {
+	Node    string         `json:"node,omitempty"`
+	Domain  string         `json:"domain,omitempty"`
+	Address netip.AddrPort `json:"address"`
+	// HeardMS is the age of its last message, -1 if there was none.
+	HeardMS int64 `json:"heard_ms"`
+	// Listed reports that the store lists the agent.
+	Listed  bool   `json:"listed,omitempty"`
+	Refusal string `json:"refusal,omitempty"`
+}
+
+// FlowView is what a balancer or an agent knows of a flow.
+type FlowView struct {
+	Role  string `json:"role"`
+	Node  string `json:"node"`
+	Known bool   `json:"known"`
+	// State is, at a balancer, how far it is with the flow; at an agent, whether
+	// its target holds it.
+	State string `json:"state"`
+	// Holder is the agent that the balancer sends the flow to, if any.
+	Holder string `json:"holder,omitempty"`
+	// SeenMS is the age of the flow's last segment, -1 if none is known.
+	SeenMS int64 `json:"seen_ms"`
+	// InWork reports that a request of the flow is unanswered at the target.
+	InWork bool `json:"in_work,omitempty"`
+}
+
+// never is the age of what has not happened.
+const never = -1
+
+func ageMS(now, at time.Time) int64 {
+	if at.IsZero() {
+		return never
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+var stageNames = [...]string{
+	stageNew: "unknown", stageOpening: "opening", stageHeld: "held", stageGuessing: "guessing", stageSearching: "searching",
+	stageTrying: "trying", stageLost: "lost", stageQueued: "waiting",
+}
+
+// View returns what the balancer believes.
+func (b *Balancer) View(now time.Time) View {
+	v := View{
+		Role: "balancer", Node: b.self.Node, Domain: b.self.Domain, Version: b.Version(), Revision: b.config.state.Revision,
+		ConfirmedMS: ageMS(now, b.config.confirmed), Flows: len(b.holders), Waiting: len(b.queue), Peers: []PeerView{},
+	}
+	for _, domain := range slices.Sorted(maps.Keys(b.config.state.DomainsOut)) {
+		if b.config.state.DomainsOut[domain] {
+			v.DomainsOut = append(v.DomainsOut, domain)
+		}
+	}
+	for _, m := range b.members.all {
+		v.Peers = append(v.Peers, PeerView{
+			Node: m.record.Node, Domain: m.record.Domain, Address: m.record.Peer, HeardMS: ageMS(now, m.lastPong),
+			Listed: m.listed, Refusal: m.status.Refusal.String(),
+		})
+	}
+	return v
+}
+
+// Explain returns what the balancer knows of a flow.
+func (b *Balancer) Explain(now time.Time, f Flow) FlowView {
+	v := FlowView{Role: "balancer", Node: b.self.Node, State: stageNames[stageNew], SeenMS: never}
+	h := b.holders[f]
+	if h == nil {
+		return v
+	}
+	v.Known, v.State, v.SeenMS = true, stageNames[h.stage], ageMS(now, h.lastSeen)
+	if h.agent != nil {
+		v.Holder = h.agent.record.Node
+	}
+	return v
+}
+
+// View returns what the agent believes.
+func (a *Agent) View(now time.Time) View {
+	t := &a.target
+	v := View{
+		Role: "agent", Node: a.self.Node, Domain: a.self.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
+		Refusal: a.refusal(now, t.service).String(), Peers: []PeerView{},
+	}
+	if a.limits.DomainOut {
+		v.DomainsOut = []string{a.self.Domain}
+	}
+	if t.known {
+		v.Target = &TargetView{
+			Instance: t.instance, Service: t.name, Lifetime: t.lifetime, Draining: t.draining, Slots: t.slots,
+			Work: a.flows.busy, HeardMS: ageMS(now, t.lastBeat), Complete: t.complete,
+		}
+	}
+	for address, asked := range a.balancers {
+		v.Peers = append(v.Peers, PeerView{Address: address, HeardMS: ageMS(now, asked)})
+	}
+	slices.SortFunc(v.Peers, func(x, y PeerView) int {
+		return cmp.Or(x.Address.Addr().Compare(y.Address.Addr()), cmp.Compare(x.Address.Port(), y.Address.Port()))
+	})
+	return v
+}
+
+// Explain returns what the agent knows of a flow.
+func (a *Agent) Explain(now time.Time, f Flow) FlowView {
+	v := FlowView{Role: "agent", Node: a.self.Node, State: a.verdict(f, 0).String(), SeenMS: never}
+	if held := a.flows.byFlow[f]; held != nil {
+		v.Known, v.SeenMS, v.InWork = true, ageMS(now, held.last), held.busy && !held.expected
+		if held.closed {
+			v.State = "closed"
+		}
+	}
+	return v
+}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -54,6 +54,7 @@
 			a.statusCommand(),
 			a.flowsCommand(),
 			a.explainCommand(),
+			a.directCommand(),
 		},
 	}
 	requireSubcommands(root)
--- /dev/null
+++ b/internal/ctl/direct_test.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/direct"
+)
+
+// startHost serves a host's views at the address, port 0 for any, and returns it.
+func startHost(t *testing.T, address string, v steering.View, f steering.FlowView) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(direct.ViewPath, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) })
+	mux.HandleFunc(direct.FlowPath, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("flow") != exampleFlow {
+			http.Error(w, "another flow", http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(f)
+	})
+	server := httptest.NewUnstartedServer(mux)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+const exampleFlow = "100.64.0.7:1025>198.18.0.1:443"
+
+func peer(ip string, heard int64) steering.PeerView {
+	return steering.PeerView{Address: netip.AddrPortFrom(netip.MustParseAddr(ip), 7000), HeardMS: heard}
+}
+
+// startHosts starts a balancer and an agent that know each other, and returns the
+// agent's address. The balancer knows another agent that is not there.
+func startHosts(t *testing.T) string {
+	t.Helper()
+	at := startHost(t, "127.0.0.11:0", steering.View{
+		Role: "agent", Node: "agent-1", Domain: "a", Revision: 9, Flows: 3, Refusal: "draining",
+		Target: &steering.TargetView{Instance: "i-1", Service: "desk", Slots: 4, Work: 2, HeardMS: 340},
+		Peers:  []steering.PeerView{peer("127.0.0.12", 100)},
+	}, steering.FlowView{Role: "agent", Node: "agent-1", Known: true, State: "held", SeenMS: 1250, InWork: true})
+	balancer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.12"), at.Port())
+	startHost(t, balancer.String(), steering.View{
+		Role: "balancer", Node: "balancer-1", Domain: "a", Version: 4, Revision: 9, ConfirmedMS: 1100, Flows: 2, DomainsOut: []string{"b"},
+		Peers: []steering.PeerView{peer("127.0.0.11", 40), peer("127.0.0.13", -1)},
+	}, steering.FlowView{Role: "balancer", Node: "balancer-1", State: "unknown", SeenMS: -1})
+	return at.String()
+}
+
+func runDirect(t *testing.T, args ...string) (out string, code int) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	code = New(&stdout, &stderr).Run(context.Background(), append([]string{"amaranthctl", "direct"}, args...))
+	return stdout.String() + stderr.String(), code
+}
+
+func requireOutput(t *testing.T, out string, want ...string) {
+	t.Helper()
+	text := strings.Join(strings.Fields(out), " ")
+	for _, w := range want {
+		if !strings.Contains(text, w) {
+			t.Errorf("%q is missing in:\n%s", w, out)
+		}
+	}
+}
+
+func TestDirectStatusFindsAllHosts(t *testing.T) {
+	out, code := runDirect(t, "status", "--host", startHosts(t))
+	if code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, out)
+	}
+	requireOutput(t, out,
+		"balancer-1 balancer a 4 9 1.1 s ago 2 - 1 of 2 agents answered, out: b",
+		"agent-1 agent a - 9 - 3 - refuses: draining, i-1 of desk, 2 in work on 4 slots, heard 0.3 s ago",
+		"127.0.0.13", "did not answer")
+}
+
+func TestDirectExplainTellsWhereAFlowIs(t *testing.T) {
+	out, code := runDirect(t, "explain", "--host", startHosts(t), exampleFlow)
+	if code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, out)
+	}
+	requireOutput(t, out, "flow "+exampleFlow+" is known to 1 of 2 hosts", "agent-1 agent held - 1.2 s ago yes")
+}
+
+func TestDirectInputIsChecked(t *testing.T) {
+	for _, c := range []struct {
+		want string
+		code int
+		args []string
+	}{
+		{`flow "100.64.0.7": want caller>address`, ExitBadInput, []string{"explain", "--host", "127.0.0.1:1", "100.64.0.7"}},
+		{`--host "here" is no address`, ExitBadInput, []string{"status", "--host", "here"}},
+		{"no host answered", ExitNoAnswer, []string{"status", "--host", "127.0.0.14:1"}},
+	} {
+		out, code := runDirect(t, c.args...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: exit code %d, %s; want %d, %s", c.args, code, out, c.code, c.want)
+		}
+	}
+}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -85,7 +85,7 @@
 	if err := a.serve(a.settings.Ready, readyHandler(a.platform.ReadyPath, a.ready)); err != nil {
 		return err
 	}
-	if err := a.serve(a.settings.Metrics, metrics); err != nil {
+	if err := a.serve(a.settings.Metrics, a.withViews(metrics, a.steering)); err != nil {
 		return err
 	}
 	a.group.Go(func() { readAll(a.outbound, a.fromTarget) })
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -69,7 +69,7 @@
 	if err := b.serve(b.settings.Ready, readyHandler(b.platform.ReadyPath, b.ready)); err != nil {
 		return err
 	}
-	if err := b.serve(b.settings.Metrics, metrics); err != nil {
+	if err := b.serve(b.settings.Metrics, b.withViews(metrics, b.steering)); err != nil {
 		return err
 	}
 	f := &follower{
--- /dev/null
+++ b/internal/direct/views.go
@@ -0,0 +1,50 @@
+package direct
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+)
+
+// Paths at the metrics address under which a node tells operators what it believes.
+const (
+	ViewPath = "/direct/view"
+	FlowPath = "/direct/flow"
+)
+
+// viewed is a core that tells what it believes.
+type viewed interface {
+	View(now time.Time) steering.View
+	Explain(now time.Time, f steering.Flow) steering.FlowView
+}
+
+// withViews adds the views of a core to the metrics' handler.
+func (n *node) withViews(metrics http.Handler, c viewed) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", metrics)
+	mux.HandleFunc("GET "+ViewPath, func(w http.ResponseWriter, _ *http.Request) {
+		n.mu.Lock()
+		v := c.View(time.Now())
+		n.mu.Unlock()
+		writeJSON(w, v)
+	})
+	mux.HandleFunc("GET "+FlowPath, func(w http.ResponseWriter, r *http.Request) {
+		f, err := steering.ParseFlow(r.URL.Query().Get("flow"))
+		if err != nil {
+			http.Error(w, "flow: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		n.mu.Lock()
+		v := c.Explain(time.Now(), f)
+		n.mu.Unlock()
+		writeJSON(w, v)
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the reader has gone if it fails
+}
