Soak: faults of the network, leases, operators and power; checks are tested

Each host reaches the store over a proxy that is slow, resets, or loses one direction; all leases lapse; a failure domain is taken out, with a check that no flow opens there 3 s later; all hosts lose power. Every third fault has one of these besides; seeds give the other faults as before.

TestChecksNoticeBrokenPromises breaks seven promises on purpose (reset, answer of another, garbage, late opening at a draining target and in a domain that is out, exit, no service); each is noticed.

--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -28,7 +28,9 @@
 // host runs one daemon.
 type host struct {
 	name, ip, domain, role string
+	// storeAddr is that of the host's way to the store.
 	binary, dir, storeAddr string
+	way                    *proxy
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,11 @@
 	Binary, Dir string
 	// Balancers, Agents and Callers size the deployment. 2, 4 and 20 if zero.
 	Balancers, Agents, Callers int
+	// Narrow leaves out the faults of the network, leases, operators and power, as
+	// before they were there.
+	Narrow bool
+	// Sabotage breaks a promise in place of faults.
+	Sabotage Sabotage
 	// Timeline receives a line a fault.
 	Timeline io.Writer
 }
@@ -37,6 +43,9 @@
 	settle = 5 * time.Second
 	// openable is the share of flows that must open in the time after that.
 	openable = 0.95
+	// wideEvery is how many faults there are for one of the network, leases,
+	// operators or power.
+	wideEvery = 3
 	// maxPause bounds the pause between two faults, in milliseconds.
 	maxPause = 900
 )
@@ -46,6 +55,7 @@
 	ctx       context.Context
 	options   Options
 	rand      *rand.Rand
+	wide      *rand.Rand // for wide faults, so that a seed gives the others as before
 	began     time.Time
 	store     *platformtest.Store
 	balancers []*host
@@ -68,17 +78,27 @@
 // Run runs a deployment under faults and returns what callers saw, with an error
 // for each broken promise. It ends its processes also when the context ends.
 func Run(ctx context.Context, o Options) (Result, error) {
-	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), store: platformtest.NewStore()}
+	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)),
+		wide: rand.New(rand.NewPCG(o.Seed, 2)), began: time.Now(), store: platformtest.NewStore()}
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
 	}
 	r.sleep(settle)
+	if o.Sabotage != "" {
+		r.sabotage(o.Sabotage)
+	}
 	for end := time.Now().Add(o.For); ctx.Err() == nil && time.Now().Before(end); {
 		r.fault()
+		if !o.Narrow && r.wide.IntN(wideEvery) == 0 {
+			r.wideFault()
+		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
 	r.store.SetFaults(platformtest.Faults{})
+	for _, h := range r.hosts() {
+		h.way.set(linkUp)
+	}
 	r.sleep(settle)
 	before := r.callers.result()
 	r.sleep(settle / 2)
@@ -120,19 +140,25 @@
 	for i := range o.Balancers {
 		r.balancers = append(r.balancers, &host{
 			name: fmt.Sprintf("balancer-%d", i), ip: fmt.Sprintf("127.%d.1.%d", net, i+1), domain: "d0", role: "balancer",
-			binary: o.Binary, dir: o.Dir, storeAddr: storeAddr,
+			binary: o.Binary, dir: o.Dir,
 		})
 	}
 	for i := range o.Agents {
 		r.agents = append(r.agents, &agentHost{host: host{
 			name: fmt.Sprintf("agent-%d", i), ip: fmt.Sprintf("127.%d.2.%d", net, i+1), domain: fmt.Sprintf("d%d", i%2), role: "agent",
-			binary: o.Binary, dir: o.Dir, storeAddr: storeAddr,
+			binary: o.Binary, dir: o.Dir,
 		}})
 	}
 	var err error
 	if r.fabric, err = newFabric(r.balancers); err != nil {
 		return err
 	}
+	for _, h := range r.hosts() {
+		h.storeAddr = fmt.Sprintf("%s:%d", h.ip, portStore)
+		if h.way, err = startProxy(h.storeAddr, storeAddr); err != nil {
+			return err
+		}
+	}
 	for _, h := range r.agents {
 		if err := h.start(); err != nil {
 			return err
@@ -242,13 +268,19 @@
 	return nil
 }
 
+// hosts returns all hosts.
+func (r *run) hosts() []*host {
+	out := slices.Clone(r.balancers)
+	for _, a := range r.agents {
+		out = append(out, &a.host)
+	}
+	return out
+}
+
 func (r *run) checkHosts() {
-	for _, h := range r.balancers {
+	for _, h := range r.hosts() {
 		r.checkHost(h)
 	}
-	for _, a := range r.agents {
-		r.checkHost(&a.host)
-	}
 }
 
 func (r *run) checkHost(h *host) {
@@ -288,20 +320,22 @@
 func (r *run) end() {
 	r.stopping.Store(true)
 	var stops sync.WaitGroup
-	for _, h := range r.balancers {
+	for _, h := range r.hosts() {
 		if h.exited != nil {
 			stops.Go(func() { h.stop(syscall.SIGKILL, stopPatience) })
 		}
 	}
 	for _, a := range r.agents {
-		if a.exited != nil {
-			stops.Go(func() { a.stop(syscall.SIGKILL, stopPatience) })
-		}
 		if a.target != nil {
 			a.target.end()
 		}
 	}
 	stops.Wait()
+	for _, h := range r.hosts() {
+		if h.way != nil {
+			h.way.end()
+		}
+	}
 	r.group.Wait()
 	if r.callers != nil {
 		_ = r.callers.conn.Close()
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -32,8 +32,10 @@
 	// drainedAt is when the agent acknowledged that the target drains.
 	drainedAt time.Time
 	lateOpens int
-	ended     bool
-	conn      *net.UDPConn
+	// opens counts opening segments.
+	opens int
+	ended bool
+	conn  *net.UDPConn
 }
 
 // held is a flow at a target.
@@ -123,6 +125,7 @@
 	if t.draining && !t.drainedAt.IsZero() && time.Since(t.drainedAt) > drainGrace {
 		t.lateOpens++
 	}
+	t.opens++
 	h := t.flows[s.Flow]
 	if h == nil {
 		h = &held{seq: rand.Uint32()}
