Take no flow for lost while another balancer knows more agents

All leases lapsed while a balancer started. It listed two of four agents, as the others were writing their records again; both ruled the flow out, and its list was newer than any that the agents had heard of. Six flows that agent-2 held were reset.

Now a ping tells how many agents the balancer knows that are listed or answer, an agent's answer the largest number of those that have asked in the last 5 s, and a search ends only if the balancer knows as many.

Test first: TestFlowIsNotLostOverAShrunkenList (the flows of three agents reset). Left: if all balancers start at once while records are lost, nobody remembers.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -36,8 +36,8 @@
 	cold    coldLimiter
 	upkeep  upkeepSection
 	effects []Effect
-	// balancers are those that have asked lately, with the time.
-	balancers map[netip.AddrPort]time.Time
+	// balancers are those that have asked lately.
+	balancers map[netip.AddrPort]asker
 	// memberRevision is the newest list of agents that a balancer has.
 	memberRevision uint64
 	// told is the refusal in the last status that was sent.
@@ -56,7 +56,7 @@
 
 // NewAgent returns an agent that knows no target yet.
 func NewAgent(self AgentSelf) *Agent {
-	return &Agent{self: self, flows: newFlowSection(), balancers: make(map[netip.AddrPort]time.Time)}
+	return &Agent{self: self, flows: newFlowSection(), balancers: make(map[netip.AddrPort]asker)}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -101,11 +101,12 @@
 	case MessageQuery:
 		a.Counters.Queries.Add(1)
 		verdict := a.verdict(msg.Flow, msg.Ack)
-		a.send(from, Message{Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision})
+		a.send(from, Message{
+			Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.agentsHeardOf(),
+		})
 	case MessagePing:
-		a.balancers[from] = now
+		a.balancers[from] = asker{now, msg.Agents}
 		a.takeLimits(msg.Limits)
-		a.upkeep.agents = int(msg.Agents)
 		if msg.Unlisted {
 			a.verify(now, verifyRetry)
 		}
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -90,6 +90,8 @@
 	// all is the members in the order of their names.
 	all       []*member
 	byService map[ServiceID][]*member
+	// counted is the last count, as it is told to agents.
+	counted int
 }
 
 func newMemberSection() memberSection {
@@ -171,8 +173,20 @@
 	}
 }
 
+// count returns the number of agents that are listed or answer.
+func (s *memberSection) count(now time.Time) int {
+	n := 0
+	for _, m := range s.all {
+		if m.listed || m.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // pingAll asks every agent for its status now.
 func (b *Balancer) pingAll(now time.Time) {
+	b.members.counted = b.members.count(now)
 	for _, m := range b.members.all {
 		b.ping(now, m)
 	}
@@ -182,7 +196,7 @@
 	m.lastPing = now
 	b.send(m, Message{
 		Kind: MessagePing, Limits: b.config.limits(m, b.members.revision),
-		Unlisted: !m.listed, Agents: uint16(min(len(b.members.all), 1<<16-1)),
+		Unlisted: !m.listed, Agents: uint16(min(b.members.counted, 1<<16-1)),
 	})
 }
 
@@ -200,6 +214,7 @@
 // pingDue asks the agents whose last ping is old enough.
 func (b *Balancer) pingDue(now time.Time) {
 	b.wantFar(now)
+	b.members.counted = b.members.count(now)
 	for _, m := range b.members.all {
 		if now.Sub(m.lastPing) >= m.pingEvery(now) {
 			b.ping(now, m)
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -148,7 +148,8 @@
 	// Unlisted reports, in a ping, that the store has lost the agent's record, as
 	// far as the balancer knows.
 	Unlisted bool
-	// Agents is, in a ping, the number of agents that the balancer knows.
+	// Agents is, in a ping, the number of agents that the balancer knows; in an
+	// answer, the largest that the agent has heard lately.
 	Agents  uint16
 	Status  Status
 	Segment Segment
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -39,8 +39,10 @@
 	ack   uint32
 	// memberRevision is the newest list of agents that answers told of.
 	memberRevision uint64
-	questions      []question
-	kept           []Segment
+	// agents is the most agents that a balancer knows which has asked them.
+	agents    int
+	questions []question
+	kept      []Segment
 }
 
 // keep keeps a segment until the search ends; the newest ones are kept.
@@ -154,17 +156,19 @@
 	}
 	q.answered, q.verdict = now, msg.Verdict
 	h.search.memberRevision = max(h.search.memberRevision, msg.MemberRevision)
+	h.search.agents = max(h.search.agents, int(msg.Agents))
 	b.declareLost(now, h)
 }
 
 // declareLost resets a flow that all agents have ruled out. Another balancer may
 // have opened it at an agent that this one does not know yet; but then it had
-// told the agents of its newer list before.
+// told the agents of its newer list before. If another one knows more agents, the
+// store has lost records that are being written again.
 func (b *Balancer) declareLost(now time.Time, h *holding) {
 	if !h.search.ruledOut() {
 		return
 	}
-	if !b.members.loaded || h.search.memberRevision > b.members.verified {
+	if !b.members.loaded || h.search.memberRevision > b.members.verified || h.search.agents > b.members.count(now) {
 		b.refresh(now)
 		return
 	}
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -10,10 +10,27 @@
 // balancerLifetime is how long a balancer that does not ask is told of changes.
 const balancerLifetime = 5 * time.Second
 
+// asker is a balancer that has asked the agent.
+type asker struct {
+	at time.Time
+	// agents is the number of agents that it knows.
+	agents uint16
+}
+
+// agentsHeardOf returns the largest number of agents that a balancer knows which
+// has asked lately.
+func (a *Agent) agentsHeardOf() uint16 {
+	var most uint16
+	for _, b := range a.balancers {
+		most = max(most, b.agents)
+	}
+	return most
+}
+
 // forgetBalancers drops the balancers that no longer ask.
 func (a *Agent) forgetBalancers(now time.Time) {
-	for to, asked := range a.balancers {
-		if now.Sub(asked) > balancerLifetime {
+	for to, b := range a.balancers {
+		if now.Sub(b.at) > balancerLifetime {
 			delete(a.balancers, to)
 		}
 	}
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -104,6 +104,30 @@
 	requireAnswers(t, callers, 2)
 }
 
+// The records of some agents are lost for a while, and a balancer starts with what
+// is left. The agents have heard of a larger list from another balancer, so it must
+// not take a flow for lost. Soak seed 9251.
+func TestFlowIsNotLostOverAShrunkenList(t *testing.T) {
+	w, callers := steady(t, 14, 2, 5, 60)
+	w.balancers[1].up = false
+	w.storeDown = true
+	for _, a := range w.agents[2:] {
+		delete(w.records, a.name)
+	}
+	w.startBalancer(w.balancers[1])
+	w.run(300 * time.Millisecond)
+	w.askAll(callers, time.Second)
+	for _, c := range callers {
+		if c.reset {
+			t.Errorf("flow %s was reset", c.flow)
+		}
+	}
+	w.storeDown = false
+	w.storeChanged()
+	w.run(5 * time.Second)
+	requireAnswers(t, callers, 2)
+}
+
 // The targets end with the power; callers learn at once that their flows are
 // gone, before they send requests that must not be repeated.
 func TestFlowsEndWithTheirTargets(t *testing.T) {
--- a/internal/core/steering/upkeep.go
+++ b/internal/core/steering/upkeep.go
@@ -20,8 +20,6 @@
 // upkeepSection is when the agent looked after what it has in the store.
 type upkeepSection struct {
 	verified, saved time.Time
-	// agents is the number of agents that balancers know.
-	agents int
 }
 
 // keepRecord looks after what the agent has in the store. Nothing is there before
@@ -33,7 +31,7 @@
 	if len(a.balancers) == 0 {
 		a.verify(now, verifyInterval)
 	}
-	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.upkeep.agents)*savePerAgent) {
+	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.agentsHeardOf())*savePerAgent) {
 		a.upkeep.saved = now
 		a.emit(Effect{Kind: EffectSave})
 	}
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -141,8 +141,8 @@
 			Work: a.flows.busy, HeardMS: ageMS(now, t.lastBeat), Complete: t.complete,
 		}
 	}
-	for address, asked := range a.balancers {
-		v.Peers = append(v.Peers, PeerView{Address: address, HeardMS: ageMS(now, asked)})
+	for address, b := range a.balancers {
+		v.Peers = append(v.Peers, PeerView{Address: address, HeardMS: ageMS(now, b.at)})
 	}
 	slices.SortFunc(v.Peers, func(x, y PeerView) int {
 		return cmp.Or(x.Address.Addr().Compare(y.Address.Addr()), cmp.Compare(x.Address.Port(), y.Address.Port()))
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -49,6 +49,8 @@
 	// loss is the share of messages between nodes that are lost.
 	loss float64
 	port uint16
+	// storeDown loses what agents ask of the store.
+	storeDown bool
 	// repeatable makes the requests of the route repeatable.
 	repeatable bool
 }
@@ -319,7 +321,7 @@
 		case steering.EffectVerify:
 			a.looks++
 			w.after(hopDelay, func() {
-				if _, ok := w.records[a.name]; !ok && a.up {
+				if _, ok := w.records[a.name]; !ok && a.up && !w.storeDown {
 					w.register(a, a.core.Record())
 				}
 			})
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -38,7 +38,8 @@
 	case steering.MessageQuery, steering.MessageAnswer, steering.MessageHeld:
 		buf = appendFlow(buf, m.Flow)
 		buf = binary.BigEndian.AppendUint32(buf, m.Ack)
-		return binary.BigEndian.AppendUint64(buf, m.MemberRevision)
+		buf = binary.BigEndian.AppendUint64(buf, m.MemberRevision)
+		return binary.BigEndian.AppendUint16(buf, m.Agents)
 	case steering.MessagePing:
 		buf = appendLimits(buf, &m.Limits)
 		buf = append(buf, flag(m.Unlisted))
@@ -87,7 +88,7 @@
 
 // Lengths of what follows the header, in bytes.
 const (
-	flowSize   = 24
+	flowSize   = 26
 	pingSize   = 24
 	statusSize = 33
 )
@@ -123,6 +124,7 @@
 		m.Flow = steering.Flow{Caller: endpoint(body), Address: endpoint(body[6:])}
 		m.Ack = binary.BigEndian.Uint32(body[12:])
 		m.MemberRevision = binary.BigEndian.Uint64(body[16:])
+		m.Agents = binary.BigEndian.Uint16(body[24:])
 	case steering.MessagePing:
 		if len(body) < pingSize {
 			return errShort
