Keep cold rates below one a second; test limits and services at the agent

Cause: the limiter counted whole openings in one second, so a declared rate of 0.5 a second let one through each second. Found by TestColdTargetGetsWhatItBears (0.5 failed; 1, 2.5 and 3 passed). Now a rate below one is kept over the time of one opening, and only openings at cold targets are noted.

Further tests, which passed at once: an agent opens no flow of another service or of the one that its target served before; a late limit does not undo a newer one.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -132,7 +132,9 @@
 		a.refuse(from, s, why)
 		return
 	}
-	a.cold.take(now)
+	if a.target.cold(now) {
+		a.cold.take(now)
+	}
 	a.flows.begin(now, s.Flow, msg.Unrepeatable)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
--- a/internal/core/steering/cold.go
+++ b/internal/core/steering/cold.go
@@ -2,16 +2,13 @@
 
 import "time"
 
-const (
-	// coldWindow is the span in which openings at a cold target are counted.
-	coldWindow = time.Second
-	// maxColdOpenings bounds the memory of the limiter.
-	maxColdOpenings = 1024
-)
+// maxColdOpenings bounds the memory of the limiter.
+const maxColdOpenings = 1024
 
-// coldLimiter bounds the openings at a cold target in any second.
+// coldLimiter bounds the openings at a cold target in any second, or in the time of
+// one opening at a rate below one a second.
 type coldLimiter struct {
-	// openings is the times of the openings in the last second, oldest first.
+	// openings is the times of the last openings, oldest first.
 	openings []time.Time
 }
 
@@ -21,21 +18,26 @@
 	if perSecond <= 0 {
 		return true
 	}
-	l.trim(now)
+	window := time.Second
+	if perSecond < 1 {
+		window = time.Duration(float32(time.Second) / perSecond)
+	}
+	l.forget(now.Add(-window))
 	return len(l.openings) < min(max(int(perSecond), 1), maxColdOpenings)
 }
 
 // take notes an opening.
 func (l *coldLimiter) take(now time.Time) {
-	l.trim(now)
-	if len(l.openings) < maxColdOpenings {
-		l.openings = append(l.openings, now)
+	if len(l.openings) == maxColdOpenings {
+		l.openings = l.openings[:copy(l.openings, l.openings[1:])]
 	}
+	l.openings = append(l.openings, now)
 }
 
-func (l *coldLimiter) trim(now time.Time) {
+// forget drops the openings before the time.
+func (l *coldLimiter) forget(before time.Time) {
 	n := 0
-	for n < len(l.openings) && now.Sub(l.openings[n]) > coldWindow {
+	for n < len(l.openings) && l.openings[n].Before(before) {
 		n++
 	}
 	if n > 0 {
--- /dev/null
+++ b/internal/core/steering/limits_test.go
@@ -0,0 +1,126 @@
+package steering_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+)
+
+// limitedAgent is an agent whose target serves the service "s", and what it answers
+// to openings.
+type limitedAgent struct {
+	*steering.Agent
+	now  time.Time
+	port uint16
+}
+
+var limitsPeer = netip.MustParseAddrPort("10.0.0.2:7000")
+
+func newLimitedAgent(coldFor time.Duration, limits steering.Limits) *limitedAgent {
+	a := &limitedAgent{
+		Agent: steering.NewAgent(steering.AgentSelf{Self: steering.Self{Node: "a", Domain: "d"}, Service: "s", HeartbeatInterval: time.Minute}),
+		now:   time.Unix(1000, 0),
+	}
+	a.Step(a.now, &steering.PreviousRecord{})
+	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Lifetime: 7, Sequence: 1, Slots: 100, ColdFor: coldFor})
+	a.Step(a.now, &steering.Registered{Lifetime: 7})
+	a.ping(limits)
+	return a
+}
+
+func (a *limitedAgent) ping(limits steering.Limits) {
+	a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{Kind: steering.MessagePing, Limits: limits}})
+}
+
+// open offers a new flow of a service and returns why it is refused.
+func (a *limitedAgent) open(service string) steering.Refusal {
+	a.port++
+	s := steering.Segment{
+		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: a.port}, Address: routeAddress},
+		Flags: steering.FlagOpen,
+	}
+	effects := a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{
+		Kind: steering.MessageOpen, Service: steering.ServiceIDOf(service), Segment: s,
+	}})
+	for _, e := range effects {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageRefused {
+			return e.Message.Refusal
+		}
+	}
+	s.Flags |= steering.FlagAck // the target answers
+	a.Step(a.now, &steering.SegmentReceived{Segment: s})
+	return steering.RefusedNot
+}
+
+// An address may have been used by another service: what a balancer believes does
+// not count.
+func TestAgentOpensNoFlowOfAnotherService(t *testing.T) {
+	a := newLimitedAgent(0, steering.Limits{})
+	if got := a.open("other"); got != steering.RefusedService {
+		t.Errorf("a flow of another service: %v", got)
+	}
+	if got := a.open("s"); got != steering.RefusedNot {
+		t.Errorf("a flow of the target's service: %v", got)
+	}
+	a.Step(a.now, &steering.Heartbeat{Instance: "j", Service: "other", Lifetime: 8, Sequence: 1, Slots: 100})
+	a.Step(a.now, &steering.Registered{Lifetime: 8})
+	if got := a.open("s"); got != steering.RefusedService {
+		t.Errorf("a flow of the service that was served before: %v", got)
+	}
+}
+
+// Load: many balancers offer flows to a target that has just started. In any second
+// it gets what it bears, whoever sends; then it is warm.
+func TestColdTargetGetsWhatItBears(t *testing.T) {
+	for _, perSecond := range []float32{0.5, 1, 2.5, 3} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) { testColdTarget(t, perSecond) })
+	}
+}
+
+func testColdTarget(t *testing.T, perSecond float32) {
+	t.Helper()
+	// Whole openings in a second, or one in the time that it takes at a lower rate.
+	most, window := max(int(perSecond), 1), time.Duration(float32(time.Second)*max(1, 1/perSecond))
+	a := newLimitedAgent(10*time.Second, steering.Limits{Revision: 1, ColdPerSecond: perSecond})
+	var opened []time.Time
+	for a.now.Before(time.Unix(1010, 0)) {
+		switch got := a.open("s"); got {
+		case steering.RefusedNot:
+			opened = append(opened, a.now)
+		case steering.RefusedCold:
+		default:
+			t.Fatalf("refused as %v", got)
+		}
+		a.now = a.now.Add(7 * time.Millisecond)
+	}
+	for i := range len(opened) - most {
+		if span := opened[i+most].Sub(opened[i]); span < window {
+			t.Errorf("%d flows opened within %v", most+1, span)
+		}
+	}
+	if least := int(9*time.Second/window) * most; len(opened) < least {
+		t.Errorf("%d flows opened in 10 s, want at least %d", len(opened), least)
+	}
+	for range 20 {
+		if got := a.open("s"); got != steering.RefusedNot {
+			t.Fatalf("the warm target refuses: %v", got)
+		}
+	}
+}
+
+// A limit that comes late, from a balancer that lags behind, does not undo a newer
+// one.
+func TestAgentKeepsTheNewestLimits(t *testing.T) {
+	a := newLimitedAgent(0, steering.Limits{Revision: 9, DomainOut: true})
+	a.ping(steering.Limits{Revision: 8})
+	if got := a.open("s"); got != steering.RefusedOut {
+		t.Errorf("a flow into a domain that is out: %v", got)
+	}
+	a.ping(steering.Limits{Revision: 10})
+	if got := a.open("s"); got != steering.RefusedNot {
+		t.Errorf("a flow into a domain that is back: %v", got)
+	}
+}
