--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -25,6 +25,9 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`; the time if 0"},
 			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds", Value: 1},
 			&cli.DurationFlag{Name: "for", Usage: "`TIME` of faults a seed", Value: 20 * time.Second},
+			&cli.IntFlag{Name: "balancers", Usage: "`NUMBER` of balancers", Value: 2},
+			&cli.IntFlag{Name: "agents", Usage: "`NUMBER` of agents, each beside a target; 250 at most", Value: 4},
+			&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers at a time", Value: 20},
 			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` for logs", Value: "out/soak"},
 		},
 		Action: run,
@@ -42,14 +45,15 @@
 	if first == 0 {
 		first = uint64(time.Now().UnixNano()) % 1_000_000
 	}
-	failed := 0
+	played, failed := 0, 0
 	for seed := first; ctx.Err() == nil && seed < first+uint64(c.Int("seeds")); seed++ {
+		played++
 		if err := runSeed(ctx, c, seed); err != nil {
 			failed++
 			fmt.Printf("seed %d FAILED:\n%v\n", seed, err)
 		}
 	}
-	fmt.Printf("%d passed, %d failed\n", c.Int("seeds")-failed, failed)
+	fmt.Printf("%d passed, %d failed\n", played-failed, failed)
 	if failed > 0 {
 		return fmt.Errorf("%d seeds failed", failed)
 	}
@@ -67,7 +71,10 @@
 		return err
 	}
 	defer timeline.Close()
-	result, err := soak.Run(ctx, soak.Options{Seed: seed, For: c.Duration("for"), Binary: c.String("binary"), Dir: dir, Timeline: timeline})
+	result, err := soak.Run(ctx, soak.Options{
+		Seed: seed, For: c.Duration("for"), Binary: c.String("binary"), Dir: dir, Timeline: timeline,
+		Balancers: c.Int("balancers"), Agents: c.Int("agents"), Callers: c.Int("callers"),
+	})
 	fmt.Printf("seed %d: %+v\n", seed, result)
 	if err != nil {
 		return fmt.Errorf("%w\nlogs and faults: %s", err, dir)
