Drop stale openings at an agent that was suspended

Cause: an agent that wakes opened the flows whose segments its socket had kept; their callers had gone elsewhere, and the half-open flows took slots for 300 ms. Balancers dropped theirs already; both use one pauseWatch now.

Test first: TestStaleOpeningsAreDroppedAtAnAgentAfterAPause (5 let in, now none). 'Configuration is in force.' is no longer written when the store holds none.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -22,7 +22,7 @@
 // AgentCounters counts decisions since the start.
 type AgentCounters struct {
 	Admitted, RefusedOpen, Delivered, Answered, Missed, Returned, Tried, Queries atomic.Uint64
-	HeartbeatsIgnored, ResetEnded                                                atomic.Uint64
+	HeartbeatsIgnored, ResetEnded, OpenStale                                     atomic.Uint64
 }
 
 // Agent decides which segments reach the target beside it.
@@ -47,6 +47,7 @@
 	// stopping is set by a planned stop.
 	stopping bool
 	turned   turnedAway
+	pauses   pauseWatch
 }
 
 // Stop ends admission: a planned stop of the agent.
@@ -62,6 +63,9 @@
 // Step handles an event. The effects are valid until the next step.
 func (a *Agent) Step(now time.Time, e Event) []Effect {
 	a.effects = a.effects[:0]
+	if paused := a.pauses.note(now); paused > 0 {
+		a.report(pauseReport(paused))
+	}
 	switch e := e.(type) {
 	case *SegmentReceived:
 		a.handleOutbound(now, e.Segment)
@@ -125,6 +129,10 @@
 		a.deliver(from, s)
 		return
 	}
+	if a.pauses.stale(now) {
+		a.Counters.OpenStale.Add(1)
+		return
+	}
 	if why := a.refusal(now, msg.Service); why != RefusedNot {
 		if why == RefusedBusy {
 			a.turned.add(from)
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -31,10 +31,8 @@
 	queue       []Flow
 	lastSweep   time.Time
 	lastRefresh time.Time
-	lastStep    time.Time
-	// woke is when the balancer woke from a suspension last.
-	woke    time.Time
-	effects []Effect
+	pauses      pauseWatch
+	effects     []Effect
 }
 
 // NewBalancer returns a balancer that knows nothing.
@@ -45,7 +43,9 @@
 // Step handles an event. The effects are valid until the next step.
 func (b *Balancer) Step(now time.Time, e Event) []Effect {
 	b.effects = b.effects[:0]
-	b.noteTime(now)
+	if paused := b.pauses.note(now); paused > 0 {
+		b.report(pauseReport(paused))
+	}
 	switch e := e.(type) {
 	case *SegmentReceived:
 		b.handleSegment(now, e.Segment)
@@ -61,29 +61,6 @@
 	return b.effects
 }
 
-const (
-	// pauseLimit is the time without a step after which a balancer takes itself
-	// for suspended: many ticks.
-	pauseLimit = time.Second
-	// pauseBacklog is how long it then handles what its sockets had kept.
-	pauseBacklog = 50 * time.Millisecond
-)
-
-// noteTime notes when the balancer wakes from a suspension.
-func (b *Balancer) noteTime(now time.Time) {
-	if !b.lastStep.IsZero() && now.Sub(b.lastStep) > pauseLimit {
-		b.woke = now
-		b.report(Report{Text: "Process was suspended.", Age: now.Sub(b.lastStep)})
-	}
-	b.lastStep = now
-}
-
-// stale reports whether opening segments may be as old as a suspension: their
-// callers have repeated them by other balancers, or given up.
-func (b *Balancer) stale(now time.Time) bool {
-	return !b.woke.IsZero() && now.Sub(b.woke) < pauseBacklog
-}
-
 func (b *Balancer) handleSegment(now time.Time, s Segment) {
 	if !b.config.loaded {
 		return
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -102,7 +102,7 @@
 
 // open places a segment that opens a flow.
 func (b *Balancer) open(now time.Time, s Segment, r *Route) {
-	if b.stale(now) {
+	if b.pauses.stale(now) {
 		b.Counters.OpenStale.Add(1)
 		return
 	}
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -129,10 +129,10 @@
 	if !b.config.load(s) {
 		return
 	}
-	version := int64(0)
-	if s.Configuration != nil {
-		version = s.Configuration.Version
+	if version := b.Version(); version > 0 {
+		b.report(Report{Text: "Configuration is in force.", Version: version})
+	} else {
+		b.report(Report{Text: "The store holds no configuration yet."})
 	}
-	b.report(Report{Text: "Configuration is in force.", Version: version})
 	b.pingAll(now)
 }
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -432,6 +432,26 @@
 	}
 }
 
+// An agent that was suspended wakes with opening segments of callers that have gone
+// elsewhere: they must not take slots from those that wait now.
+func TestStaleOpeningsAreDroppedAtAnAgentAfterAPause(t *testing.T) {
+	a := newLimitedAgent(0, steering.Limits{})
+	a.open("s")
+	a.now = a.now.Add(3 * time.Second)
+	for range 5 {
+		a.open("s")
+		a.now = a.now.Add(time.Millisecond)
+	}
+	if got := a.Counters.Admitted.Load(); got != 1 {
+		t.Errorf("%d flows were let in after the pause", got-1)
+	}
+	a.now = a.now.Add(100 * time.Millisecond)
+	a.open("s")
+	if got := a.Counters.Admitted.Load(); got != 2 {
+		t.Errorf("%d flows were let in, want 2", got)
+	}
+}
+
 func opened(w *world) int {
 	n := 0
 	for _, a := range w.agents {
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -194,6 +194,7 @@
 		"direct_queries":            &c.Queries,
 		"direct_heartbeats_ignored": &c.HeartbeatsIgnored,
 		"direct_reset_ended":        &c.ResetEnded,
+		"direct_open_stale":         &c.OpenStale,
 		"direct_segments_malformed": &a.counters.SegmentsMalformed,
 		"direct_messages_malformed": &a.counters.MessagesMalformed,
 		"direct_send_failed":        &a.counters.SendFailed,
