Save with each flow whether its requests must not be repeated

Since all open flows are saved, a process took those of its predecessor for unrepeatable, all of them, so that beyond 512 flows the wrong ones could be left out. TestUnrepeatableFlowsAreSavedFirst holds the order, which had no test.

--- a/internal/core/steering/limits_test.go
+++ b/internal/core/steering/limits_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+// Load: more open flows than are saved. Those of requests that must not be repeated
+// are, also by a process that knows them from its predecessor only.
+func TestUnrepeatableFlowsAreSavedFirst(t *testing.T) {
+	a := newLimitedAgent(0, steering.Limits{})
+	left := &steering.SavedFlows{Lifetime: 7}
+	const flows, unrepeatable = 900, 300
+	for i := range flows {
+		f := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 2}, Port: uint16(i)}, Address: routeAddress}
+		left.Flows = append(left.Flows, steering.SavedFlow{Flow: f, Unrepeatable: i < unrepeatable})
+	}
+	a.Step(a.now, left)
+	saved := 0
+	for _, f := range a.Saved().Flows {
+		if f.Unrepeatable {
+			saved++
+		}
+	}
+	if saved != unrepeatable {
+		t.Errorf("%d of %d flows of unrepeatable requests are saved", saved, unrepeatable)
+	}
+}
+
 // A limit that comes late, from a balancer that lags behind, does not undo a newer
 // one.
 func TestAgentKeepsTheNewestLimits(t *testing.T) {
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -14,6 +14,8 @@
 	// Opening reports that the handshake was not seen to end: the flow may be
 	// open here, at another target, or nowhere.
 	Opening bool
+	// Unrepeatable reports that the flow's requests must not be repeated.
+	Unrepeatable bool
 }
 
 // SavedFlows is the open flows of a target, as an agent's process left them. After
@@ -49,11 +51,11 @@
 	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete}
 	for f, held := range a.flows.byFlow {
 		if out.Final || held.open && !held.closed {
-			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack, Opening: !held.open})
+			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack, Opening: !held.open, Unrepeatable: held.unrepeatable})
 		}
 	}
 	if !out.Final && len(out.Flows) > maxSaved {
-		slices.SortFunc(out.Flows, a.byUrgency)
+		slices.SortFunc(out.Flows, byUrgency)
 		out.Flows = out.Flows[:maxSaved]
 	}
 	sortSaved(out.Flows)
@@ -61,14 +63,14 @@
 }
 
 // byUrgency puts flows of unrepeatable requests first, in a fixed order.
-func (a *Agent) byUrgency(x, y SavedFlow) int {
-	if p, q := a.flows.byFlow[x.Flow].unrepeatable, a.flows.byFlow[y.Flow].unrepeatable; p != q {
-		if p {
-			return -1
-		}
-		return 1
+func byUrgency(x, y SavedFlow) int {
+	switch {
+	case x.Unrepeatable == y.Unrepeatable:
+		return cmp.Compare(x.Flow.Hash(), y.Flow.Hash())
+	case x.Unrepeatable:
+		return -1
 	}
-	return cmp.Compare(x.Flow.Hash(), y.Flow.Hash())
+	return 1
 }
 
 func sortSaved(flows []SavedFlow) {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -218,7 +218,7 @@
 func TestFinalFlowsAreUsedOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
-	value, err := encodeSaved(&steering.SavedFlows{Lifetime: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, Opening: true}}})
+	value, err := encodeSaved(&steering.SavedFlows{Lifetime: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, Opening: true, Unrepeatable: true}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +228,7 @@
 		var events []steering.Event
 		newRegistrar(s, &events, &mu).saver.load(context.Background())
 		got := events[0].(*steering.SavedFlows)
-		if got.Final != final || len(got.Flows) != 1 || got.Flows[0] != (steering.SavedFlow{Flow: flow, Ack: 11, Opening: true}) {
+		if got.Final != final || len(got.Flows) != 1 || got.Flows[0] != (steering.SavedFlow{Flow: flow, Ack: 11, Opening: true, Unrepeatable: true}) {
 			t.Errorf("restored %+v, want final %v", got, final)
 		}
 	}
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -33,12 +33,14 @@
 	Address netip.AddrPort `json:"a"`
 	Ack     uint32         `json:"k"`
 	Opening bool           `json:"o,omitempty"`
+	// Unrepeatable is as in steering.SavedFlow.
+	Unrepeatable bool `json:"u,omitempty"`
 }
 
 func encodeSaved(s *steering.SavedFlows) ([]byte, error) {
 	doc := savedDocument{Lifetime: s.Lifetime, Final: s.Final, Flows: make([]savedFlowItem, 0, len(s.Flows))}
 	for _, f := range s.Flows {
-		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.Opening})
+		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.Opening, f.Unrepeatable})
 	}
 	return json.Marshal(doc)
 }
@@ -58,7 +60,7 @@
 			return nil, errNotIPv4
 		}
 		flow := steering.Flow{Caller: caller, Address: address}
-		out.Flows = append(out.Flows, steering.SavedFlow{Flow: flow, Ack: f.Ack, Opening: f.Opening})
+		out.Flows = append(out.Flows, steering.SavedFlow{Flow: flow, Ack: f.Ack, Opening: f.Opening, Unrepeatable: f.Unrepeatable})
 	}
 	return out, nil
 }
