Say that the store answers again only when it has

Cause: a save with nothing new makes no call and counted as success, so an agent wrote 'Store answers again.' while the store was down. Found by reading; TestStoreIsNotBackBeforeItAnswers failed first.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -214,6 +214,33 @@
 	}
 }
 
+// What was not asked has not answered: a save with nothing new says nothing of the
+// store.
+func TestStoreIsNotBackBeforeItAnswers(t *testing.T) {
+	s := newFakeStore()
+	var mu sync.Mutex
+	var events []steering.Event
+	g := newRegistrar(s, &events, &mu)
+	var lines []string
+	g.info = func(text string, _ ...any) { lines = append(lines, text) }
+	ctx := context.Background()
+	record := exampleRecord
+	g.record = &record
+	g.write(ctx)
+	g.saveFlows(ctx)
+	s.fail(true, false)
+	g.renew(ctx)
+	g.saveFlows(ctx)
+	if len(lines) > 0 {
+		t.Errorf("the store is down, and the log says %q", lines)
+	}
+	s.fail(false, false)
+	g.renew(ctx)
+	if len(lines) != 1 {
+		t.Errorf("the store is back, and the log says %q", lines)
+	}
+}
+
 // Saved flows that were final are no longer so once a process has read them.
 func TestFinalFlowsAreUsedOnce(t *testing.T) {
 	s := newFakeStore()
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -176,12 +176,12 @@
 	if g.lease == 0 {
 		return
 	}
-	switch err := g.saver.save(ctx, g.lease); {
+	switch called, err := g.saver.save(ctx, g.lease); {
 	case errors.Is(err, store.ErrLeaseLapsed):
 		g.lapsed(ctx)
 	case err != nil:
 		g.failed(err)
-	default:
+	case called:
 		g.succeeded()
 	}
 }
@@ -216,7 +216,7 @@
 		g.warn("The flows could not be handed over.", err)
 		return
 	}
-	if err := g.saver.save(ctx, g.lease); err != nil {
+	if _, err := g.saver.save(ctx, g.lease); err != nil {
 		g.warn("The flows could not be handed over.", err)
 	}
 }
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -92,18 +92,18 @@
 	v.restore(s)
 }
 
-// save writes the flows under a lease if the saved ones no longer do. A failed
-// call is made up for by the next.
-func (v *saver) save(ctx context.Context, lease store.LeaseID) error {
+// save writes the flows under a lease if the saved ones no longer do, and reports
+// whether the store was called. A failed call is made up for by the next.
+func (v *saver) save(ctx context.Context, lease store.LeaseID) (called bool, err error) {
 	now := v.flows()
 	if v.saved.Covers(&now) {
-		return nil
+		return false, nil
 	}
 	if err := v.put(ctx, &now, lease); err != nil {
-		return err
+		return true, err
 	}
 	v.saved = now
-	return nil
+	return true, nil
 }
 
 func (v *saver) put(ctx context.Context, s *steering.SavedFlows, lease store.LeaseID) error {
