--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -64,14 +64,14 @@
 }
 
 // ruledOut reports whether all agents have answered that they do not hold the
-// flow.
+// flow. Nobody rules it out if no agent is known.
 func (q *search) ruledOut() bool {
 	for i := range q.questions {
 		if q.questions[i].answered.IsZero() || !q.questions[i].verdict.ruledOut() {
 			return false
 		}
 	}
-	return true
+	return len(q.questions) > 0
 }
 
 // tried returns how many targets have got a segment of the flow although they do
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -128,6 +128,23 @@
 	requireAnswers(t, callers, 2)
 }
 
+// A balancer starts while the store has lost all records: it knows nobody who could
+// rule a flow out. Soak seed 30023.
+func TestFlowIsNotLostOverAnEmptyList(t *testing.T) {
+	w, callers := steady(t, 15, 2, 5, 60)
+	w.balancers[1].up = false
+	w.storeDown = true
+	clear(w.records)
+	w.startBalancer(w.balancers[1])
+	w.run(300 * time.Millisecond)
+	w.askAll(callers, time.Second)
+	for _, c := range callers {
+		if c.reset {
+			t.Errorf("flow %s was reset", c.flow)
+		}
+	}
+}
+
 // The targets end with the power; callers learn at once that their flows are
 // gone, before they send requests that must not be repeated.
 func TestFlowsEndWithTheirTargets(t *testing.T) {
