Use the relay that stands in the soak, in place of a second one

The soak had a TCP proxy of its own beside standin/relay. The relay gets the faults (held, slow, reset, lost in one direction); a cut is the fault Held. The scenarios' /cut endpoint and the soak's faults are as before.

--- a/standin/relay/command.go
+++ b/standin/relay/command.go
@@ -61,7 +61,11 @@
 			http.Error(w, "on must be true or false", http.StatusBadRequest)
 			return
 		}
-		r.Cut(on)
+		fault := None
+		if on {
+			fault = Held
+		}
+		r.Set(fault)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
--- a/standin/relay/doc.go
+++ b/standin/relay/doc.go
@@ -1,4 +1,3 @@
-// Package relay is a TCP relay that tests put between two processes to cut
-// them off from each other: while it is cut, connections stay open and no byte
-// passes.
+// Package relay is a TCP relay that tests put between two processes: it holds bytes
+// back, delays or loses them, or resets connections.
 package relay
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -27,7 +27,7 @@
 	mu sync.Mutex
 	// gate is closed while bytes may pass.
 	gate   chan struct{}
-	cut    bool
+	fault  Fault
 	closed chan struct{}
 	conns  map[net.Conn]struct{}
 }
@@ -50,21 +50,6 @@
 // Address returns the bound address.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// Cut stops all bytes, or lets them pass again.
-func (r *Relay) Cut(on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if on == r.cut {
-		return
-	}
-	r.cut = on
-	if on {
-		r.gate = make(chan struct{})
-	} else {
-		close(r.gate)
-	}
-}
-
 // Close ends all connections.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -91,7 +76,7 @@
 	}
 }
 
-// carry passes one connection on, from the time that the relay is not cut.
+// carry passes one connection on, from the time that bytes may pass.
 func (r *Relay) carry(near net.Conn) {
 	defer near.Close()
 	if !r.track(near) || !r.wait() {
@@ -109,21 +94,33 @@
 	}
 	defer r.untrack(far)
 	var directions sync.WaitGroup
-	directions.Go(func() { r.pass(far, near) })
-	directions.Go(func() { r.pass(near, far) })
+	directions.Go(func() { r.pass(far, near, LostTo) })
+	directions.Go(func() { r.pass(near, far, LostFrom) })
 	directions.Wait()
 }
 
-// pass copies one direction while the relay is not cut.
-func (r *Relay) pass(to, from net.Conn) {
+// pass copies one direction while no byte is held back. What is sent during the
+// lossy fault is lost, with all after it.
+func (r *Relay) pass(to, from net.Conn, lossy Fault) {
 	defer closeWrite(to)
 	buf := make([]byte, bufferSize)
+	broken := false
 	for {
 		n, readErr := from.Read(buf)
 		if !r.wait() {
 			return
 		}
-		if _, err := to.Write(buf[:n]); err != nil || readErr != nil {
+		fault := r.current()
+		if fault == Slow {
+			time.Sleep(slowBy)
+		}
+		broken = broken || n > 0 && fault == lossy
+		if !broken {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if readErr != nil {
 			return
 		}
 	}
@@ -143,7 +140,7 @@
 }
 
 // track remembers a connection for Close. It reports false once the relay is
-// closed.
+// closed, or if the connection is to be reset.
 func (r *Relay) track(conn net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,9 +148,13 @@
 	case <-r.closed:
 		return false
 	default:
-		r.conns[conn] = struct{}{}
-		return true
 	}
+	if r.fault == Reset {
+		reset(conn)
+		return false
+	}
+	r.conns[conn] = struct{}{}
+	return true
 }
 
 func (r *Relay) untrack(conn net.Conn) {
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
 // Ports, the same on all hosts: each host has an address of its own on loopback.
@@ -30,7 +32,7 @@
 	name, ip, domain, role string
 	// storeAddr is that of the host's way to the store.
 	binary, dir, storeAddr string
-	way                    *proxy
+	way                    *relay.Relay
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -13,8 +13,11 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/platform/platformtest"
+	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
 // Options configures a run.
@@ -97,7 +100,7 @@
 	}
 	r.store.SetFaults(platformtest.Faults{})
 	for _, h := range r.hosts() {
-		h.way.set(linkUp)
+		h.way.Set(relay.None)
 	}
 	r.sleep(settle)
 	before := r.callers.result()
@@ -155,7 +158,7 @@
 	}
 	for _, h := range r.hosts() {
 		h.storeAddr = fmt.Sprintf("%s:%d", h.ip, portStore)
-		if h.way, err = startProxy(h.storeAddr, storeAddr); err != nil {
+		if h.way, err = relay.Start(h.storeAddr, storeAddr, log.NewNopLogger()); err != nil {
 			return err
 		}
 	}
@@ -333,7 +336,7 @@
 	stops.Wait()
 	for _, h := range r.hosts() {
 		if h.way != nil {
-			h.way.end()
+			h.way.Close()
 		}
 	}
 	r.group.Wait()
--- a/standin/soak/wide.go
+++ b/standin/soak/wide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/platform/platformtest"
+	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
 const (
@@ -24,10 +25,10 @@
 	pause := time.Duration(500+r.wide.IntN(2500)) * time.Millisecond
 	switch kind := r.wide.IntN(7); kind {
 	case 0, 1, 2, 3:
-		state := linkSlow + link(kind)
-		r.note("%s: the way to the store is %s for %v", h.name, linkNames[state], pause)
-		h.way.set(state)
-		time.AfterFunc(pause, func() { h.way.set(linkUp) })
+		fault := [...]relay.Fault{relay.Slow, relay.Reset, relay.LostTo, relay.LostFrom}[kind]
+		r.note("%s: the way to the store is %v for %v", h.name, fault, pause)
+		h.way.Set(fault)
+		time.AfterFunc(pause, func() { h.way.Set(relay.None) })
 	case 4:
 		r.note("all leases lapse")
 		r.store.LapseAll()
@@ -47,7 +48,7 @@
 // there, once the change has to be in force.
 func (r *run) takeOut(domain string) {
 	for _, h := range r.hosts() {
-		h.way.set(linkUp)
+		h.way.Set(relay.None)
 	}
 	r.store.SetFaults(platformtest.Faults{})
 	r.note("domain %s is taken out for %v", domain, outTime)
