Share what balancers and agents do alike

The two daemons of internal/direct each carried out the common effects, served readiness, metrics and views, read messages, let time pass and listed the common counters: node does so once, and each role carries out its own effects. The refresh of a balancer is a request like those of the registrar. Views ask the node's core. In the core, one iterator over the searches under way for three loops, and one function for marks that are counted. No change of behaviour.

--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -107,36 +108,37 @@
 	b.send(q.member, Message{Kind: MessageQuery, Flow: f, Ack: ack})
 }
 
+// searching returns the searches under way, by flow.
+func (b *Balancer) searching() iter.Seq2[Flow, *search] {
+	return func(yield func(Flow, *search) bool) {
+		for _, f := range b.searches {
+			if h := b.holders[f]; h != nil && h.stage == stageSearching && !yield(f, h.search) {
+				return
+			}
+		}
+	}
+}
+
 // addToSearches makes the searches wait for the answer of a new agent.
 func (b *Balancer) addToSearches(m *member) {
-	for _, f := range b.searches {
-		if h := b.holders[f]; h != nil && h.stage == stageSearching {
-			h.search.questions = append(h.search.questions, question{member: m})
-		}
+	for _, s := range b.searching() {
+		s.questions = append(s.questions, question{member: m})
 	}
 }
 
 // askMember asks an agent that has come back about all flows that are searched.
 func (b *Balancer) askMember(now time.Time, m *member) {
-	for _, f := range b.searches {
-		h := b.holders[f]
-		if h == nil || h.stage != stageSearching {
-			continue
-		}
-		if q := h.search.of(m); q != nil && q.answered.IsZero() {
-			b.askOne(now, q, f, h.search.ack)
+	for f, s := range b.searching() {
+		if q := s.of(m); q != nil && q.answered.IsZero() {
+			b.askOne(now, q, f, s.ack)
 		}
 	}
 }
 
 // skipMember takes an agent that is gone out of all searches.
 func (b *Balancer) skipMember(m *member) {
-	for _, f := range b.searches {
-		h := b.holders[f]
-		if h == nil || h.stage != stageSearching {
-			continue
-		}
-		h.search.questions = slices.DeleteFunc(h.search.questions, func(q question) bool { return q.member == m })
+	for _, s := range b.searching() {
+		s.questions = slices.DeleteFunc(s.questions, func(q question) bool { return q.member == m })
 	}
 }
 
--- a/internal/core/steering/work.go
+++ b/internal/core/steering/work.go
@@ -11,27 +11,21 @@
 )
 
 func (s *flowSection) setExpected(f *flow, expected bool) {
-	if f.expected == expected {
-		return
-	}
-	f.expected = expected
-	if expected {
-		s.expected++
-	} else {
-		s.expected--
-	}
+	setCounted(&f.expected, expected, &s.expected)
 }
 
-func (s *flowSection) setBusy(f *flow, busy bool) {
-	if f.busy == busy {
-		return
-	}
-	f.busy = busy
-	if busy {
-		s.busy++
-	} else {
-		s.busy--
+func (s *flowSection) setBusy(f *flow, busy bool) { setCounted(&f.busy, busy, &s.busy) }
+
+// setCounted sets a mark and keeps the number of those that are set.
+func setCounted(mark *bool, to bool, count *int) {
+	switch {
+	case *mark == to:
+	case to:
+		*count++
+	default:
+		*count--
 	}
+	*mark = to
 }
 
 // beginWork notes that the caller has sent a request.
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -46,7 +46,7 @@
 			HeartbeatInterval: s.HeartbeatInterval,
 		}),
 	}
-	a.core, a.carryOut = a.steering, a.carry
+	a.core, a.carryOwn = a.steering, a.carry
 	a.registrar = &registrar{
 		store: p.Store, key: p.AgentPrefix + string(s.Node), servedKey: p.ServedPrefix + string(s.Node), ttl: s.Store.Lease,
 		wanted: make(chan steering.AgentRecord, 1), verify: newRequest(), save: newRequest(),
@@ -71,6 +71,7 @@
 	if a.outbound, err = listenUDP(a.settings.Outbound); err != nil {
 		return fmt.Errorf("listen for the target: %w", err)
 	}
+	a.toCallers = a.outbound
 	if a.peer, err = listenUDP(a.settings.Peer); err != nil {
 		return fmt.Errorf("listen for balancers: %w", err)
 	}
@@ -82,16 +83,10 @@
 	if err := a.serve(a.settings.Announce, target); err != nil {
 		return err
 	}
-	if err := a.serve(a.settings.Ready, readyHandler(a.platform.ReadyPath, a.ready)); err != nil {
-		return err
-	}
-	if err := a.serve(a.settings.Metrics, a.withViews(metrics, a.steering)); err != nil {
+	if err := a.startCommon(metrics, a.ready, tickEvery, a.countersByName()); err != nil {
 		return err
 	}
 	a.group.Go(func() { readAll(a.outbound, a.fromTarget) })
-	a.group.Go(func() { readAll(a.peer, a.fromPeer) })
-	a.group.Go(func() { a.every(tickEvery, func() { a.step(&steering.Tick{}) }) })
-	a.group.Go(func() { a.countersByName().Report(a.ctx, a.metrics) })
 	registrarCtx, halt := context.WithCancel(a.ctx)
 	registrarDone := make(chan struct{})
 	a.halt = func() {
@@ -126,34 +121,20 @@
 	a.step(&steering.Returned{Segment: s, Balancer: origin})
 }
 
-// carry carries out the core's effects; a.mu is held.
-func (a *Agent) carry(now time.Time, effects []steering.Effect) {
-	for i := range effects {
-		e := &effects[i]
-		switch e.Kind {
-		case steering.EffectSend:
-			a.sendMessage(e.To, &e.Message)
-		case steering.EffectDeliver:
-			a.platform.Segments.SetOrigin(e.Segment.Raw, e.Origin)
-			a.send(a.outbound, e.Segment.Raw, a.settings.Target)
-		case steering.EffectAnswer:
-			a.send(a.outbound, e.Segment.Raw, a.answerTo(e.Segment.Flow))
-		case steering.EffectRegister:
-			a.registrar.want(e.Record)
-		case steering.EffectVerify:
-			a.registrar.verify.ask()
-		case steering.EffectSave:
-			a.registrar.save.ask()
-		case steering.EffectReport:
-			a.report(now, &e.Report)
-		case steering.EffectReset:
-			a.out = a.platform.Segments.AppendReset(a.out[:0], e.Flow, e.Seq)
-			a.send(a.outbound, a.out, a.answerTo(e.Flow))
-		case steering.EffectObserve:
-			a.latencies[e.Latency].RecordDuration(e.Took)
-		case steering.EffectRefresh:
-			// Only balancers have these.
-		}
+// carry carries out an effect that only agents have; a.mu is held.
+func (a *Agent) carry(e *steering.Effect) {
+	switch e.Kind {
+	case steering.EffectDeliver:
+		a.platform.Segments.SetOrigin(e.Segment.Raw, e.Origin)
+		a.send(a.outbound, e.Segment.Raw, a.settings.Target)
+	case steering.EffectAnswer:
+		a.send(a.outbound, e.Segment.Raw, a.answerTo(e.Segment.Flow))
+	case steering.EffectRegister:
+		a.registrar.want(e.Record)
+	case steering.EffectVerify:
+		a.registrar.verify.ask()
+	case steering.EffectSave:
+		a.registrar.save.ask()
 	}
 }
 
@@ -195,9 +176,5 @@
 		"direct_heartbeats_ignored": &c.HeartbeatsIgnored,
 		"direct_reset_ended":        &c.ResetEnded,
 		"direct_open_stale":         &c.OpenStale,
-		"direct_segments_malformed": &a.counters.SegmentsMalformed,
-		"direct_messages_malformed": &a.counters.MessagesMalformed,
-		"direct_send_failed":        &a.counters.SendFailed,
-		"direct_reports_suppressed": &a.counters.ReportsSuppressed,
 	}
 }
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -39,7 +39,7 @@
 	lastSegment atomic.Int64
 	// segment is the event of the goroutine that reads callers' segments.
 	segment steering.SegmentReceived
-	refresh chan struct{}
+	refresh request
 	// operators and agents are what the store held last; the follower's
 	// goroutine owns them.
 	operators steering.OperatorState
@@ -51,9 +51,9 @@
 	b := &Balancer{
 		node:     newNode(&s.Direct, p, "balancer", logs, metrics),
 		steering: steering.NewBalancer(steering.Self{Node: string(s.Node), Domain: string(s.Domain)}),
-		refresh:  make(chan struct{}, 1),
+		refresh:  newRequest(),
 	}
-	b.core, b.carryOut = b.steering, b.carry
+	b.core, b.carryOwn = b.steering, b.carry
 	return b
 }
 
@@ -63,13 +63,11 @@
 	if b.segments, err = listenUDP(b.settings.Segments); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	b.toCallers = b.segments
 	if b.peer, err = listenUDP(b.settings.Peer); err != nil {
 		return fmt.Errorf("listen for agents: %w", err)
 	}
-	if err := b.serve(b.settings.Ready, readyHandler(b.platform.ReadyPath, b.ready)); err != nil {
-		return err
-	}
-	if err := b.serve(b.settings.Metrics, b.withViews(metrics, b.steering)); err != nil {
+	if err := b.startCommon(metrics, b.ready, steering.TickInterval, b.countersByName()); err != nil {
 		return err
 	}
 	f := &follower{
@@ -78,9 +76,6 @@
 	}
 	b.group.Go(func() { f.run(b.ctx) })
 	b.group.Go(func() { readAll(b.segments, b.fromCaller) })
-	b.group.Go(func() { readAll(b.peer, b.fromPeer) })
-	b.group.Go(func() { b.every(steering.TickInterval, func() { b.step(&steering.Tick{}) }) })
-	b.group.Go(func() { b.countersByName().Report(b.ctx, b.metrics) })
 	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments)
 	return nil
 }
@@ -164,28 +159,10 @@
 	b.step(&b.segment)
 }
 
-// carry carries out the core's effects; b.mu is held.
-func (b *Balancer) carry(now time.Time, effects []steering.Effect) {
-	for i := range effects {
-		e := &effects[i]
-		switch e.Kind {
-		case steering.EffectSend:
-			b.sendMessage(e.To, &e.Message)
-		case steering.EffectReset:
-			b.out = b.platform.Segments.AppendReset(b.out[:0], e.Flow, e.Seq)
-			b.send(b.segments, b.out, b.answerTo(e.Flow))
-		case steering.EffectReport:
-			b.report(now, &e.Report)
-		case steering.EffectRefresh:
-			select {
-			case b.refresh <- struct{}{}:
-			default: // one is waiting already
-			}
-		case steering.EffectObserve:
-			b.latencies[e.Latency].RecordDuration(e.Took)
-		case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister, steering.EffectVerify, steering.EffectSave:
-			// Only agents have these.
-		}
+// carry carries out an effect that only balancers have; b.mu is held.
+func (b *Balancer) carry(e *steering.Effect) {
+	if e.Kind == steering.EffectRefresh {
+		b.refresh.ask()
 	}
 }
 
@@ -217,23 +194,19 @@
 func (b *Balancer) countersByName() process.Counters {
 	c := &b.steering.Counters
 	return process.Counters{
-		"direct_opened":             &c.Opened,
-		"direct_queued":             &c.Queued,
-		"direct_open_stale":         &c.OpenStale,
-		"direct_open_expired":       &c.OpenExpired,
-		"direct_open_refused":       &c.Refused,
-		"direct_carried":            &c.Carried,
-		"direct_guessed":            &c.Guessed,
-		"direct_missed":             &c.Missed,
-		"direct_searched":           &c.Searched,
-		"direct_tried":              &c.Tried,
-		"direct_reset_no_route":     &c.ResetNoRoute,
-		"direct_reset_lost":         &c.ResetLost,
-		"direct_unknown":            &c.Unknown,
-		"direct_cache_full":         &c.CacheFull,
-		"direct_segments_malformed": &b.counters.SegmentsMalformed,
-		"direct_messages_malformed": &b.counters.MessagesMalformed,
-		"direct_send_failed":        &b.counters.SendFailed,
-		"direct_reports_suppressed": &b.counters.ReportsSuppressed,
+		"direct_opened":         &c.Opened,
+		"direct_queued":         &c.Queued,
+		"direct_open_stale":     &c.OpenStale,
+		"direct_open_expired":   &c.OpenExpired,
+		"direct_open_refused":   &c.Refused,
+		"direct_carried":        &c.Carried,
+		"direct_guessed":        &c.Guessed,
+		"direct_missed":         &c.Missed,
+		"direct_searched":       &c.Searched,
+		"direct_tried":          &c.Tried,
+		"direct_reset_no_route": &c.ResetNoRoute,
+		"direct_reset_lost":     &c.ResetLost,
+		"direct_unknown":        &c.Unknown,
+		"direct_cache_full":     &c.CacheFull,
 	}
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -42,7 +42,7 @@
 	// fresh is called when the copy begins and ceases to be up to date.
 	fresh func(bool, error)
 	// refresh asks for a read of all pairs.
-	refresh chan struct{}
+	refresh request
 
 	pairs map[string]store.KeyValue
 	// operatorRevision and agentRevision are those of the last changes.
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/obs"
+	"amaranthwheel.example/amaranthwheel/internal/process"
 	"amaranthwheel.example/amaranthwheel/internal/settings"
 	"amaranthwheel.example/amaranthwheel/internal/steerwire"
 	"amaranthwheel.example/amaranthwheel/internal/store"
@@ -62,6 +64,8 @@
 // core is a decision core of package steering.
 type core interface {
 	Step(now time.Time, e steering.Event) []steering.Effect
+	View(now time.Time) steering.View
+	Explain(now time.Time, f steering.Flow) steering.FlowView
 }
 
 // node is what balancers and agents have in common.
@@ -79,8 +83,10 @@
 
 	mu   sync.Mutex // guards core and out
 	core core
-	// carryOut carries out the core's effects; mu is held.
-	carryOut func(now time.Time, effects []steering.Effect)
+	// carryOwn carries out an effect that only nodes of the role have; mu is held.
+	carryOwn func(*steering.Effect)
+	// toCallers is the socket from which callers hear.
+	toCallers *net.UDPConn
 
 	started time.Time
 	// message is the event of the goroutine that reads from other nodes.
@@ -166,7 +172,49 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.carryOut(now, n.core.Step(now, e))
+	effects := n.core.Step(now, e)
+	for i := range effects {
+		n.carry(now, &effects[i])
+	}
+}
+
+// carry carries out an effect of the core; mu is held.
+func (n *node) carry(now time.Time, e *steering.Effect) {
+	switch e.Kind {
+	case steering.EffectSend:
+		n.sendMessage(e.To, &e.Message)
+	case steering.EffectReset:
+		n.out = n.platform.Segments.AppendReset(n.out[:0], e.Flow, e.Seq)
+		n.send(n.toCallers, n.out, n.answerTo(e.Flow))
+	case steering.EffectReport:
+		n.report(now, &e.Report)
+	case steering.EffectObserve:
+		n.latencies[e.Latency].RecordDuration(e.Took)
+	case steering.EffectDeliver, steering.EffectAnswer, steering.EffectRegister, steering.EffectVerify, steering.EffectSave,
+		steering.EffectRefresh:
+		n.carryOwn(e)
+	}
+}
+
+// startCommon serves what every role serves, reads from other nodes, lets time
+// pass and reports counters.
+func (n *node) startCommon(metrics http.Handler, ready func() bool, tick time.Duration, own process.Counters) error {
+	if err := n.serve(n.settings.Ready, readyHandler(n.platform.ReadyPath, ready)); err != nil {
+		return err
+	}
+	if err := n.serve(n.settings.Metrics, n.withViews(metrics)); err != nil {
+		return err
+	}
+	maps.Copy(own, process.Counters{
+		"direct_segments_malformed": &n.counters.SegmentsMalformed,
+		"direct_messages_malformed": &n.counters.MessagesMalformed,
+		"direct_send_failed":        &n.counters.SendFailed,
+		"direct_reports_suppressed": &n.counters.ReportsSuppressed,
+	})
+	n.group.Go(func() { readAll(n.peer, n.fromPeer) })
+	n.group.Go(func() { n.every(tick, func() { n.step(&steering.Tick{}) }) })
+	n.group.Go(func() { own.Report(n.ctx, n.metrics) })
+	return nil
 }
 
 // fromPeer handles a datagram from another node.
@@ -180,7 +228,7 @@
 	n.step(&n.message)
 }
 
-// answerPort is the port at which callers receive answers.
+// answerTo returns where the flow's caller receives answers.
 func (n *node) answerTo(f steering.Flow) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4(f.Caller.IP), n.settings.Segments.Port())
 }
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -16,18 +16,6 @@
 	renewRetry = 3 * time.Second
 )
 
-// request asks for something to be done; several before it is done are one.
-type request chan struct{}
-
-func newRequest() request { return make(request, 1) }
-
-func (r request) ask() {
-	select {
-	case r <- struct{}{}:
-	default: // asked already
-	}
-}
-
 // registrar keeps an agent's record in the store.
 type registrar struct {
 	store store.Polled
--- a/internal/direct/views.go
+++ b/internal/direct/views.go
@@ -14,19 +14,13 @@
 	FlowPath = "/direct/flow"
 )
 
-// viewed is a core that tells what it believes.
-type viewed interface {
-	View(now time.Time) steering.View
-	Explain(now time.Time, f steering.Flow) steering.FlowView
-}
-
-// withViews adds the views of a core to the metrics' handler.
-func (n *node) withViews(metrics http.Handler, c viewed) http.Handler {
+// withViews adds the core's views to the metrics' handler.
+func (n *node) withViews(metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", metrics)
 	mux.HandleFunc("GET "+ViewPath, func(w http.ResponseWriter, _ *http.Request) {
 		n.mu.Lock()
-		v := c.View(time.Now())
+		v := n.core.View(time.Now())
 		n.mu.Unlock()
 		writeJSON(w, v)
 	})
@@ -37,7 +31,7 @@
 			return
 		}
 		n.mu.Lock()
-		v := c.Explain(time.Now(), f)
+		v := n.core.Explain(time.Now(), f)
 		n.mu.Unlock()
 		writeJSON(w, v)
 	})
--- a/internal/direct/views_test.go
+++ b/internal/direct/views_test.go
@@ -37,7 +37,7 @@
 	agent.Step(now, &steering.MessageReceived{From: balancer, Message: steering.Message{
 		Kind: steering.MessageOpen, Service: steering.ServiceIDOf("s"), Segment: steering.Segment{Flow: flow, Flags: steering.FlagOpen},
 	}})
-	h := new(node).withViews(http.NotFoundHandler(), agent)
+	h := (&node{core: agent}).withViews(http.NotFoundHandler())
 
 	var v steering.View
 	if code := getView(t, h, ViewPath, &v); code != http.StatusOK {
