Let a leaving balancer suspect nobody

Cause: a balancer that leaves is no longer among the balancers that watch, so nobody sends it heartbeats; but with fewer than three others left it still ranked itself among the watchers of each node (rendezvous.InTop also ranks a node that is not listed). 2.5 to 3 s after its stop began it claimed that every node is suspect, and these claims spread: for 10 to 750 ms until each was refuted, no agent admitted new flows. Test: TestLeavingBalancerSuspectsNobody, failed at 3 s with 0 to 2 others.

--- a/internal/core/membership/controller_test.go
+++ b/internal/core/membership/controller_test.go
@@ -147,3 +147,28 @@
 		t.Fatalf("3 s after the pause the silent agent is %v", got)
 	}
 }
+
+// A balancer that leaves gets no more heartbeats, so their absence proves
+// nothing.
+func TestLeavingBalancerSuspectsNobody(t *testing.T) {
+	for others := range 5 {
+		n, b := newNode("balancer", model.RoleBalancer)
+		members := []model.Member{agent(model.StateAlive, 1)}
+		for i := range others {
+			peer := model.NodeID("balancer-" + string(rune('a'+i)))
+			members = append(members, model.Member{Node: peer, Role: model.RoleBalancer, Incarnation: 1, State: model.StateAlive})
+		}
+		learn(n, members...)
+		n.Step(start, core.Tick{})
+		n.Step(start, core.MessageReceived{From: "agent", Message: core.Heartbeat{Sequence: 1}})
+		b.Self.Member.State, b.Self.Member.Revision = model.StateDraining, 1
+		for at := time.Duration(0); at < 30*time.Second; at += core.TickInterval {
+			n.Step(start.Add(at), core.Tick{})
+			for _, m := range b.Members.Records {
+				if m.State >= model.StateSuspect {
+					t.Fatalf("with %d others, %v after it began to leave, %s is %v", others, at, m.Node, m.State)
+				}
+			}
+		}
+	}
+}
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -43,9 +43,15 @@
 	return ids(rendezvous.Top(rendezvous.NewNode(node), b.nodes, WatchersPerNode))
 }
 
-// Watches reports whether the balancer is among the node's watchers.
+// Watches reports whether the balancer is among the node's watchers. One that
+// is leaving never is, however few others there are: it gets no heartbeats.
 func (b Balancers) Watches(balancer rendezvous.Node, node model.NodeID) bool {
-	return rendezvous.InTop(rendezvous.NewNode(node), b.nodes, WatchersPerNode, balancer)
+	return b.has(balancer.ID) && rendezvous.InTop(rendezvous.NewNode(node), b.nodes, WatchersPerNode, balancer)
+}
+
+func (b Balancers) has(balancer model.NodeID) bool {
+	_, found := slices.BinarySearchFunc(b.nodes, balancer, func(n rendezvous.Node, id model.NodeID) int { return cmp.Compare(n.ID, id) })
+	return found
 }
 
 // Peers returns the balancers that the node opens sessions to: its watchers
