Remember over restarts how many agents there are

Cause: a balancer may call a flow lost once all agents that it knows rule it out. Agents tell it if another balancer knows more of them. When all balancers start anew while the store has lost some records, nobody remembered: agents forgot the counts with the balancers that told them, after 5 s, and agents that had just started had heard none. Live flows were reset (known open fault). Now an agent keeps the count until a balancer's lower one has stood for 5 s, and saves it with its flows, under the lease of its record: whoever is still listed still has it. Ruled out: the count in the agent's record (written before any count is heard). Test: TestFlowIsNotLostAsEverythingStartsOverAShrunkenList, failed with resets in both variants (balancers only, agents too).

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -36,8 +36,7 @@
 	cold    coldLimiter
 	upkeep  upkeepSection
 	effects []Effect
-	// balancers are those that have asked lately.
-	balancers map[netip.AddrPort]asker
+	askers  askerSection
 	// memberRevision is the newest list of agents that a balancer has.
 	memberRevision uint64
 	// told is the refusal in the last status that was sent.
@@ -57,7 +56,7 @@
 
 // NewAgent returns an agent that knows no target yet.
 func NewAgent(self AgentSelf) *Agent {
-	return &Agent{self: self, flows: newFlowSection(), balancers: make(map[netip.AddrPort]asker)}
+	return &Agent{self: self, flows: newFlowSection(), askers: newAskerSection()}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -86,7 +85,7 @@
 	case *Tick:
 		a.flows.sweep(now)
 		a.watchTarget(now)
-		a.forgetBalancers(now)
+		a.askers.tick(now)
 		a.keepRecord(now)
 	case *SavedFlows:
 		a.restore(now, e)
@@ -106,10 +105,10 @@
 		a.Counters.Queries.Add(1)
 		verdict := a.verdict(msg.Flow, msg.Ack)
 		a.send(from, Message{
-			Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.agentsHeardOf(),
+			Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.askers.count(now),
 		})
 	case MessagePing:
-		a.balancers[from] = asker{now, msg.Agents}
+		a.askers.note(now, from, msg.Agents)
 		a.takeLimits(msg.Limits)
 		if msg.Unlisted {
 			a.verify(now, verifyRetry)
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -27,7 +27,9 @@
 	// Final reports that these are all flows of the target: they were saved as
 	// the process stopped, and no other has run since.
 	Final bool
-	Flows []SavedFlow
+	// Agents is the number of agents that balancers knew.
+	Agents uint16
+	Flows  []SavedFlow
 }
 
 func (*SavedFlows) event() {}
@@ -48,7 +50,7 @@
 		// Nothing has happened since: they are as the last process left them.
 		return *a.target.saved
 	}
-	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete}
+	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete, Agents: a.askers.agents}
 	for f, held := range a.flows.byFlow {
 		if out.Final || held.open && !held.closed {
 			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack, Opening: !held.open, Unrepeatable: held.unrepeatable})
@@ -79,7 +81,7 @@
 
 // Covers reports whether the saved flows are still good for what is now.
 func (s *SavedFlows) Covers(now *SavedFlows) bool {
-	if s.Lifetime != now.Lifetime || s.Final != now.Final || len(s.Flows) != len(now.Flows) {
+	if s.Lifetime != now.Lifetime || s.Final != now.Final || s.Agents < now.Agents || len(s.Flows) != len(now.Flows) {
 		return false
 	}
 	for i := range s.Flows {
@@ -94,6 +96,7 @@
 // they are taken for held: it returns what it does not hold.
 func (a *Agent) restore(now time.Time, s *SavedFlows) {
 	a.target.saved = s
+	a.askers.agents = max(a.askers.agents, s.Agents)
 	if !a.target.known {
 		a.flows.hold(now, s.Flows)
 		a.target.complete = s.Final
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -7,35 +7,6 @@
 	"time"
 )
 
-// balancerLifetime is how long a balancer that does not ask is told of changes.
-const balancerLifetime = 5 * time.Second
-
-// asker is a balancer that has asked the agent.
-type asker struct {
-	at time.Time
-	// agents is the number of agents that it knows.
-	agents uint16
-}
-
-// agentsHeardOf returns the largest number of agents that a balancer knows which
-// has asked lately.
-func (a *Agent) agentsHeardOf() uint16 {
-	var most uint16
-	for _, b := range a.balancers {
-		most = max(most, b.agents)
-	}
-	return most
-}
-
-// forgetBalancers drops the balancers that no longer ask.
-func (a *Agent) forgetBalancers(now time.Time) {
-	for to, b := range a.balancers {
-		if now.Sub(b.at) > balancerLifetime {
-			delete(a.balancers, to)
-		}
-	}
-}
-
 // tellChange tells the balancers when the agent begins or ceases to open flows,
 // and when it has heard of a newer configuration.
 func (a *Agent) tellChange(now time.Time) {
@@ -45,7 +16,7 @@
 		return
 	}
 	a.told, a.toldRevision = why, a.limits.Revision
-	for _, to := range slices.SortedFunc(maps.Keys(a.balancers), netip.AddrPort.Compare) {
+	for _, to := range slices.SortedFunc(maps.Keys(a.askers.byPeer), netip.AddrPort.Compare) {
 		a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
 	}
 }
@@ -74,6 +45,6 @@
 		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
 		PerSecond: uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
 		Flows:     uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
-		Balancers: uint16(min(len(a.balancers), 1<<16-1)),
+		Balancers: uint16(min(len(a.askers.byPeer), 1<<16-1)),
 	}
 }
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -10,6 +10,9 @@
 	_ "amaranthwheel.example/amaranthwheel/internal/fixedseed"
 )
 
+// balancerPause is longer than agents remember a balancer that does not ask.
+const balancerPause = 6 * time.Second
+
 func requireAnswers(t *testing.T, callers []*caller, want int) {
 	t.Helper()
 	for _, c := range callers {
@@ -128,6 +131,44 @@
 	requireAnswers(t, callers, 2)
 }
 
+// All balancers start anew while the store has lost the records of some agents, or
+// all processes do: the agents remember how many they were.
+func TestFlowIsNotLostAsEverythingStartsOverAShrunkenList(t *testing.T) {
+	for _, agentsToo := range []bool{false, true} {
+		w, callers := steady(t, 16, 2, 5, 60)
+		for _, b := range w.balancers {
+			b.up = false
+		}
+		for _, a := range w.agents {
+			a.up = !agentsToo
+		}
+		w.run(balancerPause)
+		w.storeDown = true
+		for _, a := range w.agents[2:] {
+			delete(w.records, a.name)
+		}
+		for _, a := range w.agents {
+			if agentsToo {
+				w.startAgent(a)
+			}
+		}
+		for _, b := range w.balancers {
+			w.startBalancer(b)
+		}
+		w.run(300 * time.Millisecond)
+		w.askAll(callers, 2*time.Second)
+		for _, c := range callers {
+			if c.reset {
+				t.Errorf("agents too %v: flow %s was reset", agentsToo, c.flow)
+			}
+		}
+		w.storeDown = false
+		w.storeChanged()
+		w.run(5 * time.Second)
+		requireAnswers(t, callers, 2)
+	}
+}
+
 // A balancer starts while the store has lost all records: it knows nobody who could
 // rule a flow out. Soak seed 30023.
 func TestFlowIsNotLostOverAnEmptyList(t *testing.T) {
--- a/internal/core/steering/upkeep.go
+++ b/internal/core/steering/upkeep.go
@@ -28,10 +28,10 @@
 	if a.target.written == 0 {
 		return
 	}
-	if len(a.balancers) == 0 {
+	if len(a.askers.byPeer) == 0 {
 		a.verify(now, verifyInterval)
 	}
-	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.agentsHeardOf())*savePerAgent) {
+	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.askers.count(now))*savePerAgent) {
 		a.upkeep.saved = now
 		a.emit(Effect{Kind: EffectSave})
 	}
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -141,7 +141,7 @@
 			Work: a.flows.busy, HeardMS: ageMS(now, t.lastBeat), Complete: t.complete,
 		}
 	}
-	for address, b := range a.balancers {
+	for address, b := range a.askers.byPeer {
 		v.Peers = append(v.Peers, PeerView{Address: address, HeardMS: ageMS(now, b.at)})
 	}
 	slices.SortFunc(v.Peers, func(x, y PeerView) int {
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -25,6 +25,7 @@
 type savedDocument struct {
 	Lifetime int64           `json:"lifetime"`
 	Final    bool            `json:"final,omitempty"`
+	Agents   uint16          `json:"agents,omitempty"`
 	Flows    []savedFlowItem `json:"flows"`
 }
 
@@ -38,7 +39,7 @@
 }
 
 func encodeSaved(s *steering.SavedFlows) ([]byte, error) {
-	doc := savedDocument{Lifetime: s.Lifetime, Final: s.Final, Flows: make([]savedFlowItem, 0, len(s.Flows))}
+	doc := savedDocument{Lifetime: s.Lifetime, Final: s.Final, Agents: s.Agents, Flows: make([]savedFlowItem, 0, len(s.Flows))}
 	for _, f := range s.Flows {
 		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.Opening, f.Unrepeatable})
 	}
@@ -52,7 +53,7 @@
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return nil, err
 	}
-	out := &steering.SavedFlows{Lifetime: doc.Lifetime, Final: doc.Final}
+	out := &steering.SavedFlows{Lifetime: doc.Lifetime, Final: doc.Final, Agents: doc.Agents}
 	for _, f := range doc.Flows {
 		caller, ok := steering.EndpointOf(f.Caller)
 		address, ok2 := steering.EndpointOf(f.Address)
--- /dev/null
+++ b/internal/direct/saver_test.go
@@ -0,0 +1,28 @@
+package direct
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+)
+
+func TestSavedFlowsAreReadAsTheyWereWritten(t *testing.T) {
+	caller, _ := steering.EndpointOf(netip.MustParseAddrPort("100.64.0.1:1025"))
+	address, _ := steering.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443"))
+	want := &steering.SavedFlows{
+		Lifetime: 7, Final: true, Agents: 1100,
+		Flows: []steering.SavedFlow{{
+			Flow: steering.Flow{Caller: caller, Address: address}, Ack: 4_000_000_000, Opening: true, Unrepeatable: true,
+		}},
+	}
+	value, err := encodeSaved(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeSaved(value)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%s is read as %+v, %v", value, got, err)
+	}
+}
