Use a target whose clock went back before it started

Cause: an agent ignored every heartbeat of a lifetime below the known one, as late ones of a target that has ended. A target that starts again after its host's clock was set back looks the same, and its agent refused all flows until the lifetimes had met, or for good. Now heartbeats of an earlier lifetime count once the known one has fallen silent and three came with rising sequence, evenly. Tests: TestTargetWhoseClockWentBackIsUsed failed first; two on late heartbeats hold the old rule.

--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -89,6 +89,7 @@
 	// complete reports that the agent has seen every segment of the target's
 	// lifetime.
 	complete bool
+	backward backward
 }
 
 // usable reports whether flows can be opened at the target.
@@ -106,12 +107,12 @@
 func (a *Agent) handleHeartbeat(now time.Time, h *Heartbeat) {
 	t := &a.target
 	switch {
-	case t.known && h.Lifetime < t.lifetime,
+	case t.known && h.Lifetime < t.lifetime && !t.startedBefore(now, h),
 		t.known && h.Lifetime == t.lifetime && h.Sequence <= t.sequence:
 		a.Counters.HeartbeatsIgnored.Add(1)
 		a.report(Report{Text: "Heartbeat is out of date.", Node: h.Instance})
 		return
-	case !t.known || h.Lifetime > t.lifetime || h.Instance != t.instance:
+	case !t.known || h.Lifetime != t.lifetime || h.Instance != t.instance:
 		a.beginLifetime(now, h)
 	}
 	if h.Draining != t.draining {
