Soak: lose, repeat, delay and cut datagrams, and set clocks off

Faults come from a stream of their own, so that older seeds give the same faults as before; the two regressions leave the new ones out.

--- a/standin/soak/fabric.go
+++ b/standin/soak/fabric.go
@@ -9,6 +9,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/platform"
+	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
 const (
@@ -24,6 +25,7 @@
 
 	mu     sync.Mutex
 	misses map[*host]int
+	loss   relay.Loss
 }
 
 func newFabric(hosts []*host) (*fabric, error) {
@@ -62,6 +64,7 @@
 // send sends a packet to the balancer that the flow's hash selects now.
 func (f *fabric) send(flow steering.Flow, raw []byte) {
 	f.mu.Lock()
+	loss := f.loss
 	var in []*host
 	for _, h := range f.hosts {
 		if f.misses[h] < probeMisses {
@@ -73,5 +76,14 @@
 		in = f.hosts
 	}
 	h := in[flow.Hash()%uint64(len(in))]
-	_, _ = f.conn.WriteToUDP(raw, udpAddr(h.ip, portSegments)) // as lost on the way
+	if !loss.To {
+		loss.Pass(func() { _, _ = f.conn.WriteToUDP(raw, udpAddr(h.ip, portSegments)) }) // as lost on the way
+	}
+}
+
+// set lets things go wrong with what callers send.
+func (f *fabric) set(l relay.Loss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loss = l
 }
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -48,6 +48,10 @@
 type agentHost struct {
 	host
 	target *target
+	// link is the way of datagrams to the agent.
+	link *relay.Datagrams
+	// clock is how far the host's clock is off.
+	clock time.Duration
 }
 
 func (h *host) settings() string {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -29,15 +29,26 @@
 	Binary, Dir string
 	// Balancers, Agents and Callers size the deployment. 2, 4 and 20 if zero.
 	Balancers, Agents, Callers int
-	// Narrow leaves out the faults of the network, leases, operators and power, as
-	// before they were there.
-	Narrow bool
+	// Breadth leaves out faults that were not there when a seed failed.
+	Breadth Breadth
 	// Sabotage breaks a promise in place of faults.
 	Sabotage Sabotage
 	// Timeline receives a line a fault.
 	Timeline io.Writer
 }
 
+// Breadth is the kinds of faults of a run.
+type Breadth int
+
+const (
+	// All is all faults.
+	All Breadth = iota
+	// Wide leaves out faults of datagrams and clocks.
+	Wide
+	// Narrow also leaves out those of the network, leases, operators and power.
+	Narrow
+)
+
 const (
 	// stopPatience is how long a process may take to stop.
 	stopPatience = 6 * time.Second
@@ -59,6 +70,7 @@
 	options   Options
 	rand      *rand.Rand
 	wide      *rand.Rand // for wide faults, so that a seed gives the others as before
+	links     *rand.Rand // the same for those of datagrams and clocks
 	began     time.Time
 	store     *platformtest.Store
 	balancers []*host
@@ -82,7 +94,7 @@
 // for each broken promise. It ends its processes also when the context ends.
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)),
-		wide: rand.New(rand.NewPCG(o.Seed, 2)), began: time.Now(), store: platformtest.NewStore()}
+		wide: rand.New(rand.NewPCG(o.Seed, 2)), links: rand.New(rand.NewPCG(o.Seed, 3)), began: time.Now(), store: platformtest.NewStore()}
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -93,15 +105,16 @@
 	}
 	for end := time.Now().Add(o.For); ctx.Err() == nil && time.Now().Before(end); {
 		r.fault()
-		if !o.Narrow && r.wide.IntN(wideEvery) == 0 {
+		if o.Breadth != Narrow && r.wide.IntN(wideEvery) == 0 {
 			r.wideFault()
 		}
+		if o.Breadth == All && r.links.IntN(linkEvery) == 0 {
+			r.linkFault()
+		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
 	r.store.SetFaults(platformtest.Faults{})
-	for _, h := range r.hosts() {
-		h.way.Set(relay.None)
-	}
+	r.heal()
 	r.sleep(settle)
 	before := r.callers.result()
 	r.sleep(settle / 2)
@@ -136,10 +149,6 @@
 	net := int(o.Seed%200) + 20
 	storeIP := fmt.Sprintf("127.%d.0.1", net)
 	storeAddr := fmt.Sprintf("%s:%d", storeIP, portStore)
-	if err := r.store.Serve(storeAddr); err != nil {
-		return err
-	}
-	r.store.Configure(1, serviceName)
 	for i := range o.Balancers {
 		r.balancers = append(r.balancers, &host{
 			name: fmt.Sprintf("balancer-%d", i), ip: fmt.Sprintf("127.%d.1.%d", net, i+1), domain: "d0", role: "balancer",
@@ -152,6 +161,13 @@
 			binary: o.Binary, dir: o.Dir,
 		}})
 	}
+	if err := r.startLinks(net); err != nil {
+		return err
+	}
+	if err := r.store.Serve(storeAddr); err != nil {
+		return err
+	}
+	r.store.Configure(1, serviceName)
 	var err error
 	if r.fabric, err = newFabric(r.balancers); err != nil {
 		return err
@@ -339,6 +355,11 @@
 			h.way.Close()
 		}
 	}
+	for _, a := range r.agents {
+		if a.link != nil {
+			a.link.Close()
+		}
+	}
 	r.group.Wait()
 	if r.callers != nil {
 		_ = r.callers.conn.Close()
--- a/standin/soak/sabotage.go
+++ b/standin/soak/sabotage.go
@@ -26,6 +26,8 @@
 	SabotageOut Sabotage = "out"
 	// SabotageExit kills a process behind the run's back.
 	SabotageExit Sabotage = "exit"
+	// SabotageLinks cuts the datagrams between balancers and agents for good.
+	SabotageLinks Sabotage = "links"
 	// SabotageService ends all targets for good.
 	SabotageService Sabotage = "service"
 )
@@ -54,6 +56,10 @@
 		r.takeOut(a.domain)
 	case SabotageExit:
 		a.signal(syscall.SIGKILL)
+	case SabotageLinks:
+		for _, a := range r.agents {
+			a.link.Close()
+		}
 	case SabotageService:
 		for _, each := range r.agents {
 			each.target.end()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -22,8 +22,8 @@
 	9251: "a balancer started while the store had lost records, and took flows of agents that it did not know for lost",
 }
 
-// narrow is the seeds that failed before there were wide faults.
-var narrow = map[uint64]bool{245: true}
+// breadths is those of the seeds that failed before there were all faults.
+var breadths = map[uint64]soak.Breadth{245: soak.Narrow, 9251: soak.Wide}
 
 // faultTime is how long a short run injects faults.
 const faultTime = 8 * time.Second
@@ -54,6 +54,7 @@
 			soak.SabotageDrain:   "was sent 1 flows later than",
 			soak.SabotageOut:     "1 flows opened in domain d1 later than",
 			soak.SabotageExit:    "ended by itself",
+			soak.SabotageLinks:   "flows did not open",
 			soak.SabotageService: "flows did not open",
 		} {
 			seed++
@@ -88,7 +89,7 @@
 	}
 	defer timeline.Close()
 	result, err := soak.Run(t.Context(), soak.Options{
-		Seed: seed, For: faultTime, Binary: binary, Dir: dir, Timeline: timeline, Narrow: narrow[seed],
+		Seed: seed, For: faultTime, Binary: binary, Dir: dir, Timeline: timeline, Breadth: breadths[seed],
 	})
 	t.Logf("%+v", result)
 	if err == nil {
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{host: h, born: time.Now().UnixMilli(), flows: make(map[steering.Flow]*held), conn: conn}
+	t := &target{host: h, born: time.Now().Add(h.clock).UnixMilli(), flows: make(map[steering.Flow]*held), conn: conn}
 	go t.read()
 	go t.beat()
 	return t, nil
--- a/standin/soak/wide.go
+++ b/standin/soak/wide.go
@@ -47,9 +47,7 @@
 // takeOut takes a failure domain out for a while and checks that no flows open
 // there, once the change has to be in force.
 func (r *run) takeOut(domain string) {
-	for _, h := range r.hosts() {
-		h.way.Set(relay.None)
-	}
+	r.heal()
 	r.store.SetFaults(platformtest.Faults{})
 	r.note("domain %s is taken out for %v", domain, outTime)
 	r.store.Evacuate(domain, true)
