Let flows of one request wait shortest

Openings wait at the balancers, newest first, whatever they bring: downloads, whose 5 ms are a tenth of the others' work, starved. Now the operators' kind of route orders the waiting: flows of one request go before flows that stay, the newest first within each.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -28,7 +28,7 @@
 	holders map[Flow]*holding
 
 	searches    []Flow
-	queue       []Flow
+	queues      [waitClasses][]Flow
 	lastSweep   time.Time
 	lastRefresh time.Time
 	pauses      pauseWatch
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -14,19 +14,48 @@
 	maxQueued = 1000
 )
 
+// waitClass orders the segments that wait. Load: targets are short of slots for long,
+// while flows that stay open fill them with requests.
+type waitClass int
+
+const (
+	// classBrief is flows of one request: they leave their slot for good, and cost
+	// the others the least.
+	classBrief waitClass = iota
+	classOther
+	waitClasses
+)
+
+func classOf(r *Route) waitClass {
+	if r.Brief {
+		return classBrief
+	}
+	return classOther
+}
+
+// waiting returns the number of opening segments that wait.
+func (b *Balancer) waiting() int {
+	n := 0
+	for _, q := range b.queues {
+		n += len(q)
+	}
+	return n
+}
+
 // enqueue lets an opening segment wait until an agent takes it. Load: many
 // flows open at once while agents start, are full or are being replaced.
 func (b *Balancer) enqueue(now time.Time, h *holding, s Segment, r *Route) {
 	if h.queuedAt.IsZero() {
 		h.queuedAt = now
-		if len(b.queue) >= maxQueued {
+		if b.waiting() >= maxQueued {
 			b.expire(s.Flow, r, "queue is full")
 			return
 		}
 		b.Counters.Queued.Add(1)
 		h.queued = s
 		h.queued.Raw = slices.Clone(s.Raw)
-		b.queue = append(b.queue, s.Flow)
+		class := classOf(r)
+		b.queues[class] = append(b.queues[class], s.Flow)
 		b.report(Report{Text: "Flow waits for an agent.", Flow: s.Flow, Route: r.Name, Version: b.Version()})
 	}
 	h.nOffered = 0
@@ -40,15 +69,20 @@
 	delete(b.holders, f)
 }
 
-// placeQueued offers the waiting segments, the newest first: under overload the
-// callers of the oldest ones are about to give up, and serving them would make
-// all others late.
+// placeQueued offers the waiting segments, class by class.
 func (b *Balancer) placeQueued(now time.Time) {
-	if len(b.queue) == 0 {
-		return
+	for class := range b.queues {
+		if len(b.queues[class]) > 0 {
+			b.queues[class] = b.placeClass(now, b.queues[class])
+		}
 	}
-	waiting := b.queue
-	b.queue = nil
+}
+
+// placeClass offers waiting segments, the newest first: under overload the callers
+// of the oldest ones are about to give up, and serving them would make all others
+// late. It returns those that go on waiting.
+func (b *Balancer) placeClass(now time.Time, waiting []Flow) []Flow {
+	kept := make([]Flow, 0, len(waiting))
 	for _, f := range slices.Backward(waiting) {
 		h := b.holders[f]
 		if h == nil || h.queuedAt.IsZero() {
@@ -66,11 +100,12 @@
 				b.expire(f, r, "waited too long")
 			}
 		case h.stage == stageOpening:
-			b.queue = append(b.queue, f)
+			kept = append(kept, f)
 		default:
-			b.queue = append(b.queue, f)
+			kept = append(kept, f)
 			b.offerNext(now, h, h.queued, r)
 		}
 	}
-	slices.Reverse(b.queue)
+	slices.Reverse(kept)
+	return kept
 }
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -28,6 +28,8 @@
 	// Unrepeatable reports that the requests of the route must not be repeated
 	// once they may have run.
 	Unrepeatable bool
+	// Brief reports that each flow of the route carries one request.
+	Brief bool
 }
 
 // pick returns the service for a flow. All balancers with the same route pick
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -95,7 +95,7 @@
 func (b *Balancer) View(now time.Time) View {
 	v := View{
 		Role: "balancer", Node: b.self.Node, Domain: b.self.Domain, Version: b.Version(), Revision: b.config.state.Revision,
-		ConfirmedMS: ageMS(now, b.config.confirmed), Flows: len(b.holders), Waiting: len(b.queue), Peers: []PeerView{},
+		ConfirmedMS: ageMS(now, b.config.confirmed), Flows: len(b.holders), Waiting: b.waiting(), Peers: []PeerView{},
 	}
 	for _, domain := range slices.Sorted(maps.Keys(b.config.state.DomainsOut)) {
 		if b.config.state.DomainsOut[domain] {
