Open cheap flows of one request at a busy target

Now an agent whose target is known to answer such requests in a third of the others' time opens their flows up to five per slot, and tells balancers so.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -132,7 +132,7 @@
 		a.Counters.OpenStale.Add(1)
 		return
 	}
-	if why := a.refusal(now, msg.Service); why != RefusedNot {
+	if why := a.refusal(now, msg.Service, classFor(msg.Brief)); why != RefusedNot {
 		if why == RefusedBusy {
 			a.turned.add(from)
 		}
@@ -142,7 +142,7 @@
 	if a.target.cold(now) {
 		a.cold.take(now)
 	}
-	a.flows.begin(now, s.Flow, msg.Unrepeatable)
+	a.flows.begin(now, msg)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
 	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Version: int64(a.limits.Revision)})
@@ -155,8 +155,21 @@
 // go first.
 const maxWorkPerSlot = 2
 
+// maxBriefPerSlot is the same for flows of one request, where these are cheap: three
+// more each take less than one of the others, and must not starve behind requests
+// that come over open flows, which nobody turns away.
+const maxBriefPerSlot = 5
+
+// maxWork returns the requests per slot from which flows of the class are refused.
+func (a *Agent) maxWork(class waitClass) int {
+	if class == classBrief && a.flows.briefAreCheap() {
+		return maxBriefPerSlot
+	}
+	return maxWorkPerSlot
+}
+
 // refusal returns why the agent does not open a flow of the service now.
-func (a *Agent) refusal(now time.Time, service ServiceID) Refusal {
+func (a *Agent) refusal(now time.Time, service ServiceID, class waitClass) Refusal {
 	t := &a.target
 	switch {
 	case a.stopping || t.draining:
@@ -167,7 +180,7 @@
 		return RefusedService
 	case a.limits.DomainOut:
 		return RefusedOut
-	case a.flows.busy >= t.slots*maxWorkPerSlot:
+	case a.flows.busy >= t.slots*a.maxWork(class):
 		return RefusedBusy
 	case a.flows.silent(now):
 		return RefusedSilent
--- a/internal/core/steering/far.go
+++ b/internal/core/steering/far.go
@@ -49,7 +49,7 @@
 // nearServes reports whether one of the own failure domain's members has room.
 func (b *Balancer) nearServes(now time.Time, members []*member) bool {
 	for _, m := range members {
-		if m.local && b.tierOf(now, m) == tierOpen && m.load(now) <= spillLoad {
+		if m.local && b.tierOf(now, m, classOther) == tierOpen && m.load(now) <= spillLoad {
 			return true
 		}
 	}
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -44,6 +44,8 @@
 	open    bool // past the handshake
 	// unrepeatable reports that the flow's requests must not be repeated.
 	unrepeatable bool
+	// brief reports that the flow carries one request.
+	brief bool
 	// ack is what the caller acknowledged last.
 	ack uint32
 	// lastTarget is when the target sent last.
@@ -82,8 +84,10 @@
 	expected int
 	// slots is the target's slots.
 	slots int
-	// workTime is the mean time of requests that found a free slot.
-	workTime time.Duration
+	// workTime is the mean time of requests that found a free slot, workTimes that
+	// of each class.
+	workTime  meanTime
+	workTimes [waitClasses]meanTime
 	// unanswered is when the oldest opening segment was delivered that the
 	// target has not answered, zero if none.
 	unanswered time.Time
@@ -141,10 +145,11 @@
 	return ended
 }
 
-// begin notes an opening segment.
-func (s *flowSection) begin(now time.Time, f Flow, unrepeatable bool) {
+// begin notes a segment that opens a flow.
+func (s *flowSection) begin(now time.Time, msg *Message) {
+	f := msg.Segment.Flow
 	s.drop(f)
-	opened := &flow{last: now, unrepeatable: unrepeatable}
+	opened := &flow{last: now, unrepeatable: msg.Unrepeatable, brief: msg.Brief}
 	s.byFlow[f] = opened
 	s.setExpected(opened, true)
 	s.setBusy(opened, true)
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -131,7 +131,7 @@
 
 // sendOpen offers an opening segment to an agent.
 func (b *Balancer) sendOpen(m *member, s Segment, r *Route, service ServiceID) {
-	b.send(m, Message{Kind: MessageOpen, Service: service, Unrepeatable: r.Unrepeatable, Segment: s})
+	b.send(m, Message{Kind: MessageOpen, Service: service, Unrepeatable: r.Unrepeatable, Brief: r.Brief, Segment: s})
 }
 
 // offerNext offers an opening segment to the next agent.
@@ -140,7 +140,7 @@
 	service := r.pick(hash)
 	var m *member
 	if h.nOffered < maxOffers {
-		m = b.place(now, h, service, hash)
+		m = b.place(now, h, classOf(r), service, hash)
 	}
 	if m == nil {
 		b.enqueue(now, h, s, r)
@@ -161,7 +161,7 @@
 func (b *Balancer) handleRefused(now time.Time, m *member, msg *Message) {
 	b.Counters.Refused.Add(1)
 	if msg.Refusal == RefusedBusy {
-		m.full = true
+		m.noteFull(classOf(b.config.route(msg.Segment.Flow.Address)))
 	} else {
 		m.avoidUntil = now.Add(refusalPause)
 	}
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -119,6 +119,9 @@
 	// PerSecond is the requests a second that the target finishes with all slots
 	// in use.
 	PerSecond uint16
+	// BriefPerSlot is the work per slot from which the agent refuses flows of one
+	// request, 0 if it does not know.
+	BriefPerSlot uint8
 	// Flows is the number of open flows.
 	Flows uint32
 	// Revision is the newest configuration revision that the agent heard of.
@@ -138,7 +141,9 @@
 	// Unrepeatable reports that the requests of the flow that is opened must not
 	// be repeated.
 	Unrepeatable bool
-	Flow         Flow
+	// Brief reports that the flow that is opened carries one request.
+	Brief bool
+	Flow  Flow
 	// Ack is the caller's acknowledgement in a query, 0 if it has none.
 	Ack uint32
 	// MemberRevision is, in an answer, the newest list of agents that the agent
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -21,7 +21,24 @@
 
 // noteWork notes the work at the agent's target.
 func (m *member) noteWork(now time.Time, work int) {
-	m.work, m.opened, m.loadAt, m.full = work, 0, now, false
+	m.work, m.opened, m.loadAt, m.full = work, 0, now, [waitClasses]bool{}
+}
+
+// noteFull notes that the agent has refused a flow of the class: it refuses those of
+// later classes too.
+func (m *member) noteFull(class waitClass) {
+	for ; class < waitClasses; class++ {
+		m.full[class] = true
+	}
+}
+
+// maxWork returns the requests per slot from which the agent refuses flows of the
+// class.
+func (m *member) maxWork(class waitClass) float64 {
+	if class == classBrief && m.status.BriefPerSlot > 0 {
+		return float64(m.status.BriefPerSlot)
+	}
+	return maxWorkPerSlot
 }
 
 // slots returns the slots of the agent's target, at least 1.
@@ -45,11 +62,11 @@
 	tierNone
 )
 
-func (b *Balancer) tierOf(now time.Time, m *member) tier {
+func (b *Balancer) tierOf(now time.Time, m *member, class waitClass) tier {
 	if !m.live(now) || now.Before(m.avoidUntil) || b.config.state.DomainsOut[m.record.Domain] {
 		return tierNone
 	}
-	if m.full || m.load(now) >= maxWorkPerSlot {
+	if m.full[class] || m.load(now) >= m.maxWork(class) {
 		return tierNone
 	}
 	switch m.status.Refusal {
@@ -104,10 +121,10 @@
 // place picks the agent for a new flow, or nil if none takes it. Of the two
 // highest ranked agents of the own failure domain the one with less load is
 // picked; under overload, one of the other domains may be.
-func (b *Balancer) place(now time.Time, h *holding, service ServiceID, hash uint64) *member {
+func (b *Balancer) place(now time.Time, h *holding, class waitClass, service ServiceID, hash uint64) *member {
 	var local, remote [tierNone]pair
 	for _, m := range b.members.byService[service] {
-		t := b.tierOf(now, m)
+		t := b.tierOf(now, m, class)
 		if t == tierNone || h.offeredTo(m) {
 			continue
 		}
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -26,8 +26,13 @@
 	waitClasses
 )
 
+// classOf returns the class of a route's flows.
 func classOf(r *Route) waitClass {
-	if r.Brief {
+	return classFor(r != nil && r.Brief)
+}
+
+func classFor(brief bool) waitClass {
+	if brief {
 		return classBrief
 	}
 	return classOther
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -10,7 +10,7 @@
 // tellChange tells the balancers when the agent begins or ceases to open flows,
 // and when it has heard of a newer configuration.
 func (a *Agent) tellChange(now time.Time) {
-	why := a.refusal(now, a.target.service)
+	why := a.refusal(now, a.target.service, classOther)
 	changed := why != a.told && why != RefusedCold && why != RefusedSilent && why != RefusedBusy
 	if !changed && a.limits.Revision == a.toldRevision {
 		return
@@ -41,10 +41,11 @@
 func (a *Agent) status(now time.Time) Status {
 	t := &a.target
 	return Status{
-		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service),
+		Epoch: a.self.Epoch, Service: t.service, Refusal: a.refusal(now, t.service, classOther),
 		Slots: uint16(min(t.slots, 1<<16-1)), Busy: uint16(min(a.flows.busy, 1<<16-1)),
-		PerSecond: uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
-		Flows:     uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
+		PerSecond:    uint16(min(a.flows.perSecond(t.slots), 1<<16-1)),
+		BriefPerSlot: uint8(a.maxWork(classBrief)),
+		Flows:        uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
 		Balancers: uint16(min(len(a.askers.byPeer), 1<<16-1)),
 	}
 }
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -130,7 +130,7 @@
 	t := &a.target
 	v := View{
 		Role: "agent", Node: a.self.Node, Domain: a.self.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
-		Refusal: a.refusal(now, t.service).String(), Peers: []PeerView{},
+		Refusal: a.refusal(now, t.service, classOther).String(), Peers: []PeerView{},
 	}
 	if a.limits.DomainOut {
 		v.DomainsOut = []string{a.self.Domain}
--- a/internal/core/steering/work.go
+++ b/internal/core/steering/work.go
@@ -8,8 +8,28 @@
 	unknownWorkTime = 100 * time.Millisecond
 	// workWeight is the weight of a new work time in the mean.
 	workWeight = 0.1
+	// cheapShare is the part of the others' time that a request may take to be cheap:
+	// the three that a slot bears more take no longer than one of the others.
+	cheapShare = 1.0 / 3
 )
 
+// meanTime is a mean in which newer times weigh more, 0 before the first.
+type meanTime time.Duration
+
+func (m *meanTime) add(d time.Duration) {
+	if *m == 0 {
+		*m = meanTime(d)
+	}
+	*m += meanTime(workWeight * float64(d-time.Duration(*m)))
+}
+
+// briefAreCheap reports whether requests on flows of their own are known to take far
+// less time than others.
+func (s *flowSection) briefAreCheap() bool {
+	brief, other := s.workTimes[classBrief], s.workTimes[classOther]
+	return brief > 0 && float64(brief) <= cheapShare*float64(other)
+}
+
 func (s *flowSection) setExpected(f *flow, expected bool) {
 	setCounted(&f.expected, expected, &s.expected)
 }
@@ -46,10 +66,8 @@
 		took = now.Sub(f.workBegan)
 	}
 	if ended && f.sole {
-		if s.workTime == 0 {
-			s.workTime = took
-		}
-		s.workTime += time.Duration(workWeight * float64(took-s.workTime))
+		s.workTime.add(took)
+		s.workTimes[classFor(f.brief)].add(took)
 	}
 	s.setExpected(f, false)
 	s.setBusy(f, false)
@@ -59,7 +77,7 @@
 // perSecond returns the requests that the target finishes in a second with all
 // slots in use.
 func (s *flowSection) perSecond(slots int) int {
-	workTime := s.workTime
+	workTime := time.Duration(s.workTime)
 	if workTime <= 0 {
 		workTime = unknownWorkTime
 	}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -11,12 +11,18 @@
 )
 
 // version is the first byte of every datagram. A node drops other versions.
-const version = 0xA1
+const version = 0xA2
 
 // headerSize is the length of version, kind, verdict, refusal (in an opening
 // segment: whether its requests must not be repeated) and service.
 const headerSize = 8
 
+// Bits of a message that opens a flow.
+const (
+	openUnrepeatable = 1 << iota
+	openBrief
+)
+
 var (
 	errShort   = errors.New("datagram is too short")
 	errVersion = errors.New("datagram has another version")
@@ -30,7 +36,7 @@
 func Append(buf []byte, m *steering.Message) []byte {
 	reason := byte(m.Refusal)
 	if m.Kind == steering.MessageOpen {
-		reason = flag(m.Unrepeatable)
+		reason = flag(m.Unrepeatable)*openUnrepeatable | flag(m.Brief)*openBrief
 	}
 	buf = append(buf, version, byte(m.Kind), byte(m.Verdict), reason)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(m.Service))
@@ -83,14 +89,15 @@
 	buf = binary.BigEndian.AppendUint16(buf, s.PerSecond)
 	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
 	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
-	return binary.BigEndian.AppendUint16(buf, s.Balancers)
+	buf = binary.BigEndian.AppendUint16(buf, s.Balancers)
+	return append(buf, s.BriefPerSlot)
 }
 
 // Lengths of what follows the header, in bytes.
 const (
 	flowSize   = 26
 	pingSize   = 24
-	statusSize = 33
+	statusSize = 34
 )
 
 // Decode decodes a datagram. The message keeps raw.
@@ -105,7 +112,7 @@
 	m.Kind = steering.MessageKind(raw[1])
 	m.Verdict = steering.Verdict(raw[2])
 	if m.Kind == steering.MessageOpen {
-		m.Unrepeatable = raw[3] != 0
+		m.Unrepeatable, m.Brief = raw[3]&openUnrepeatable != 0, raw[3]&openBrief != 0
 	} else {
 		m.Refusal = steering.Refusal(raw[3])
 	}
@@ -150,7 +157,7 @@
 			PerSecond: binary.BigEndian.Uint16(body[17:]),
 			Flows:     binary.BigEndian.Uint32(body[19:]),
 			Revision:  binary.BigEndian.Uint64(body[23:]),
-			Balancers: binary.BigEndian.Uint16(body[31:]),
+			Balancers: binary.BigEndian.Uint16(body[31:]), BriefPerSlot: body[33],
 		}
 	case steering.MessageOpen, steering.MessageCarry, steering.MessageGuess, steering.MessageTry,
 		steering.MessageRefused, steering.MessageMissed:
