Do not read the store over a larger count of agents alone

A read brings nothing then: that the list has grown is heard from agents, by its revision, and that it has not is a matter of time. Test: TestFlowIsNotLostAsEverythingStartsOverAShrunkenList also counts reads; it failed with 7 reads and more.

--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -170,10 +170,13 @@
 	if !h.search.ruledOut() {
 		return
 	}
-	if !b.members.loaded || h.search.memberRevision > b.members.verified || h.search.agents > b.members.count(now) {
+	if !b.members.loaded || h.search.memberRevision > b.members.verified {
 		b.refresh(now)
 		return
 	}
+	if h.search.agents > b.members.count(now) {
+		return // reading the list again brings nothing: another agent, or time, will
+	}
 	s := h.search.kept[len(h.search.kept)-1]
 	h.search = nil
 	h.nOffered = 0
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -162,6 +162,11 @@
 				t.Errorf("agents too %v: flow %s was reset", agentsToo, c.flow)
 			}
 		}
+		for _, b := range w.balancers {
+			if b.reads > 1 {
+				t.Errorf("agents too %v: a balancer read the store %d times, in which nothing changes", agentsToo, b.reads)
+			}
+		}
 		w.storeDown = false
 		w.storeChanged()
 		w.run(5 * time.Second)
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -85,6 +85,8 @@
 	// blind keeps the store's changes from the balancer.
 	blind  bool
 	resets int
+	// reads counts how often the balancer asked for a read of the store.
+	reads int
 }
 
 type agentNode struct {
@@ -296,6 +298,7 @@
 			b.resets++
 			w.resetCaller(effect.Flow)
 		case steering.EffectRefresh:
+			b.reads++
 			w.after(hopDelay, func() { w.loadStore(b) })
 		}
 	}
