Let a balancer say whether its count of agents is informed

Cause: an agent took a lower count only after it had stood for 5 s, also from a balancer that has watched agents leave, so flows of hosts that had left were called lost up to 5 s later. Only a balancer that has just started may count too few, and it knows that: a ping now says whether it has known the list for 5 s. Tests: TestFlowIsNotLostAsEverythingStartsOverAShrunkenList still holds, as does TestRandomFaults; the codec's test has the bit.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -105,10 +105,10 @@
 		a.Counters.Queries.Add(1)
 		verdict := a.verdict(msg.Flow, msg.Ack)
 		a.send(from, Message{
-			Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.askers.count(now),
+			Kind: MessageAnswer, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.askers.count(),
 		})
 	case MessagePing:
-		a.askers.note(now, from, msg.Agents)
+		a.askers.note(now, from, msg)
 		a.takeLimits(msg.Limits)
 		if msg.Unlisted {
 			a.verify(now, verifyRetry)
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -84,6 +84,8 @@
 // memberSection is the agents that a balancer knows.
 type memberSection struct {
 	loaded bool
+	// loadedAt is when the list was known first.
+	loadedAt time.Time
 	// revision and verified are as in MembersLoaded.
 	revision, verified uint64
 	byPeer             map[netip.AddrPort]*member
@@ -102,7 +104,9 @@
 // members even if the store has lost them.
 func (b *Balancer) loadMembers(now time.Time, e *MembersLoaded) {
 	s := &b.members
-	s.loaded = true
+	if !s.loaded {
+		s.loaded, s.loadedAt = true, now
+	}
 	s.verified = max(s.verified, e.Verified)
 	if known := len(s.byPeer) > 0; known && e.Revision <= s.revision {
 		b.reviewSearches(now)
@@ -194,9 +198,10 @@
 
 func (b *Balancer) ping(now time.Time, m *member) {
 	m.lastPing = now
+	s := &b.members
 	b.send(m, Message{
-		Kind: MessagePing, Limits: b.config.limits(m, b.members.revision),
-		Unlisted: !m.listed, Agents: uint16(min(b.members.counted, 1<<16-1)),
+		Kind: MessagePing, Limits: b.config.limits(m, s.revision),
+		Unlisted: !m.listed, Informed: s.loaded && now.Sub(s.loadedAt) >= informedAfter, Agents: uint16(min(s.counted, 1<<16-1)),
 	})
 }
 
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -153,6 +153,9 @@
 	// Unlisted reports, in a ping, that the store has lost the agent's record, as
 	// far as the balancer knows.
 	Unlisted bool
+	// Informed reports, in a ping, that the balancer has known the list of agents
+	// long enough for live agents to be back in it.
+	Informed bool
 	// Agents is, in a ping, the number of agents that the balancer knows; in an
 	// answer, the largest that the agent has heard lately.
 	Agents  uint16
--- a/internal/core/steering/upkeep.go
+++ b/internal/core/steering/upkeep.go
@@ -31,7 +31,7 @@
 	if len(a.askers.byPeer) == 0 {
 		a.verify(now, verifyInterval)
 	}
-	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.askers.count(now))*savePerAgent) {
+	if now.Sub(a.upkeep.saved) >= max(saveInterval, time.Duration(a.askers.count())*savePerAgent) {
 		a.upkeep.saved = now
 		a.emit(Effect{Kind: EffectSave})
 	}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -17,6 +17,12 @@
 // segment: whether its requests must not be repeated) and service.
 const headerSize = 8
 
+// Bits of a ping.
+const (
+	pingUnlisted = 1 << iota
+	pingInformed
+)
+
 // Bits of a message that opens a flow.
 const (
 	openUnrepeatable = 1 << iota
@@ -48,7 +54,7 @@
 		return binary.BigEndian.AppendUint16(buf, m.Agents)
 	case steering.MessagePing:
 		buf = appendLimits(buf, &m.Limits)
-		buf = append(buf, flag(m.Unlisted))
+		buf = append(buf, flag(m.Unlisted)*pingUnlisted|flag(m.Informed)*pingInformed)
 		return binary.BigEndian.AppendUint16(buf, m.Agents)
 	case steering.MessagePong:
 		return appendStatus(buf, &m.Status)
@@ -142,7 +148,7 @@
 			DomainOut:      body[16] != 0,
 			ColdPerSecond:  math.Float32frombits(binary.BigEndian.Uint32(body[17:])),
 		}
-		m.Unlisted = body[21] != 0
+		m.Unlisted, m.Informed = body[21]&pingUnlisted != 0, body[21]&pingInformed != 0
 		m.Agents = binary.BigEndian.Uint16(body[22:])
 	case steering.MessagePong:
 		if len(body) < statusSize {
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -30,6 +30,7 @@
 		{Kind: steering.MessageQuery, Flow: flow, Ack: 9},
 		{Kind: steering.MessageAnswer, Flow: flow, Verdict: steering.VerdictTried, MemberRevision: 12, Agents: 600},
 		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: 3, MemberRevision: 4, DomainOut: true, ColdPerSecond: 2.5}, Unlisted: true, Agents: 600},
+		{Kind: steering.MessagePing, Informed: true, Agents: 600},
 		{Kind: steering.MessagePong, Status: steering.Status{
 			Epoch: 1, Service: 2, Refusal: steering.RefusedBusy, Slots: 3, Busy: 4, PerSecond: 5, Flows: 6, Revision: 7, Balancers: 8, BriefPerSlot: 9,
 		}},
