Spend no place on callers that have left

Now a balancer drops a waiting opening whose copy is overdue (callers repeat after 200 and 600 ms; a later copy begins anew), and an agent frees the place of an opening whose caller does not go on for 100 ms at once. Tests: TestCallersThatLeftWaitNoLonger, TestPlacesOfCallersThatLeftAreFreed.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -65,6 +65,7 @@
 	if paused := a.pauses.note(now); paused > 0 {
 		a.report(pauseReport(paused))
 	}
+	a.flows.giveUpExpected(now)
 	switch e := e.(type) {
 	case *SegmentReceived:
 		a.handleOutbound(now, e.Segment)
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -14,8 +14,9 @@
 	// after the opening.
 	openTimeout = 5 * time.Second
 	// expectTimeout is how long a flow counts as a request to come after its
-	// caller sent last: callers send a request right after the handshake.
-	expectTimeout = 300 * time.Millisecond
+	// opening: callers send one right after the handshake, some milliseconds later,
+	// or have left meanwhile.
+	expectTimeout = 100 * time.Millisecond
 	// busyTimeout is how long a request without any segment counts as in work.
 	busyTimeout = 5 * time.Second
 	// ruledOutLifetime is how long an agent remembers that its target returned
@@ -80,8 +81,10 @@
 	byFlow map[Flow]*flow
 	ruled  map[Flow]time.Time
 	busy   int
-	// expected counts the busy flows whose request has not come.
+	// expected counts the busy flows whose request has not come, openings lists
+	// them and those that opened lately, the oldest first.
 	expected int
+	openings []opening
 	// slots is the target's slots.
 	slots int
 	// workTime is the mean time of requests that found a free slot, workTimes that
@@ -153,6 +156,7 @@
 	s.byFlow[f] = opened
 	s.setExpected(opened, true)
 	s.setBusy(opened, true)
+	s.openings = append(s.openings, opening{opened, now})
 	delete(s.ruled, f)
 	s.probed = now
 	if s.unanswered.IsZero() {
@@ -228,7 +232,7 @@
 		silence := now.Sub(held.last)
 		if silence > held.lifetime() {
 			s.drop(f)
-		} else if silence > busyTimeout || held.expected && silence > expectTimeout {
+		} else if silence > busyTimeout {
 			s.setExpected(held, false)
 			s.setBusy(held, false)
 		}
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -47,9 +47,11 @@
 	search   *search
 	// tries counts the unsure agents that got a segment of the flow.
 	tries int
-	// queued is the opening segment that waits since queuedAt.
+	// queued is the opening segment that waits since queuedAt, copies is the number
+	// of the last copy that has come.
 	queued   Segment
 	queuedAt time.Time
+	copies   uint32
 }
 
 func (h *holding) offeredTo(m *member) bool {
@@ -117,6 +119,7 @@
 		b.offerNext(now, h, s, r)
 		return
 	case h.stage == stageQueued && copied:
+		h.copies = max(h.copies, s.Ack)
 		return
 	}
 	*h = holding{lastSeen: now}
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -57,7 +57,7 @@
 			return
 		}
 		b.Counters.Queued.Add(1)
-		h.queued = s
+		h.queued, h.copies = s, s.Ack
 		h.queued.Raw = slices.Clone(s.Raw)
 		class := classOf(r)
 		b.queues[class] = append(b.queues[class], s.Flow)
@@ -129,10 +129,32 @@
 			b.expire(f, r, "waited too long")
 		}
 		return false
+	case h.stage == stageQueued && h.callerLeft(now):
+		b.expire(f, r, "caller has left")
+		return false
 	}
 	return true
 }
 
+// repeatAt is when callers repeat an opening segment, after the first.
+var repeatAt = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+
+// repeatSlack is how late a copy may come: a way between failure domains, and the
+// lag of a small balancer under load.
+const repeatSlack = 100 * time.Millisecond
+
+// callerLeft reports whether a copy of the waiting segment is overdue. Load: after a
+// loss of power many callers have run out of time; an agent would keep a place for
+// each. A copy that was merely lost costs its caller the time to the next one.
+func (h *holding) callerLeft(now time.Time) bool {
+	first := h.queuedAt
+	if seen := int(h.queued.Ack); seen > 0 {
+		first = first.Add(-repeatAt[min(seen, len(repeatAt))-1])
+	}
+	next := int(h.copies)
+	return next < len(repeatAt) && now.Sub(first) > repeatAt[next]+repeatSlack
+}
+
 // offerWaiting offers a segment that waits, and reports false if no agent has room
 // for its service. The newest go first within a class: under overload the callers of
 // the oldest ones are about to give up, and serving them would make all others late.
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -52,12 +52,17 @@
 	}}})
 }
 
-// open lets a caller open a flow.
+// open lets another caller open a flow.
 func (b *queueingBalancer) open(address steering.Endpoint) {
 	b.port++
+	b.repeat(b.port, address, 0)
+}
+
+// repeat hands the balancer a copy of a caller's opening segment.
+func (b *queueingBalancer) repeat(caller uint16, address steering.Endpoint, number uint32) {
 	b.Step(b.now, &steering.SegmentReceived{Segment: steering.Segment{
-		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: b.port}, Address: address},
-		Flags: steering.FlagOpen,
+		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: caller}, Address: address},
+		Flags: steering.FlagOpen, Ack: number,
 	}})
 }
 
@@ -120,6 +125,34 @@
 	}
 }
 
+// Load: after a loss of power callers run out of time while their openings wait. One
+// that does not repeat its segment when it should has left.
+func TestCallersThatLeftWaitNoLonger(t *testing.T) {
+	b := newQueueingBalancer(1)
+	b.open(routeAddress)
+	b.open(routeAddress) // the newest, which goes first
+	b.now = b.now.Add(200 * time.Millisecond)
+	b.repeat(1, routeAddress, 1)
+	b.now = b.now.Add(150 * time.Millisecond)
+	b.Step(b.now, &steering.Tick{})
+	offered := 0
+	for _, e := range b.pong(0, 2*targetsOwn-2) {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageOpen {
+			offered++
+			if port := e.Message.Segment.Flow.Caller.Port; port != 1 {
+				t.Errorf("the flow of caller %d, which has left, is offered", port)
+			}
+		}
+	}
+	if offered != 1 {
+		t.Errorf("%d flows are offered", offered)
+	}
+	b.repeat(2, routeAddress, 2) // it had merely been lost
+	if got := b.Counters.Opened.Load(); got != 2 {
+		t.Errorf("%d flows are offered after a later copy", got)
+	}
+}
+
 // Load: requests that come over open flows take all that a target may queue. Flows of
 // one request still open if they are known to be cheap, and only then.
 func TestCheapFlowsOpenAtABusyTarget(t *testing.T) {
@@ -150,6 +183,24 @@
 	}
 }
 
+// Load: callers leave while their openings wait, and do not go on when these are
+// answered. Others get their places before the next tick.
+func TestPlacesOfCallersThatLeftAreFreed(t *testing.T) {
+	a := newBusyAgent()
+	opened := 0
+	for a.offer(a.next(), false) {
+		opened++
+	}
+	a.now = a.now.Add(150 * time.Millisecond)
+	again := 0
+	for a.offer(a.next(), false) {
+		again++
+	}
+	if opened == 0 || again != opened {
+		t.Errorf("%d flows opened, and %d when the callers of these had left", opened, again)
+	}
+}
+
 // busyAgent is an agent whose target has four slots.
 type busyAgent struct {
 	*limitedAgent
@@ -166,25 +217,40 @@
 	return a
 }
 
-// open opens a flow and sends a request over it, or returns nil if it is refused.
-func (a *busyAgent) open(brief bool) *steering.Flow {
+// next returns the opening segment of another flow.
+func (a *busyAgent) next() steering.Segment {
 	a.port++
-	s := steering.Segment{
+	return steering.Segment{
 		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: a.port}, Address: routeAddress},
 		Flags: steering.FlagOpen,
 	}
-	send := func(kind steering.MessageKind, s steering.Segment) []steering.Effect {
-		return a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{
-			Kind: kind, Service: steering.ServiceIDOf("s"), Brief: brief, Segment: s,
-		}})
-	}
-	for _, e := range send(steering.MessageOpen, s) {
+}
+
+// fromBalancer hands the agent a segment.
+func (a *busyAgent) fromBalancer(kind steering.MessageKind, s steering.Segment, brief bool) []steering.Effect {
+	return a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{
+		Kind: kind, Service: steering.ServiceIDOf("s"), Brief: brief, Segment: s,
+	}})
+}
+
+// offer offers a flow, which the target answers unless the agent refuses it.
+func (a *busyAgent) offer(s steering.Segment, brief bool) bool {
+	for _, e := range a.fromBalancer(steering.MessageOpen, s, brief) {
 		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageRefused {
-			return nil
+			return false
 		}
 	}
 	a.Step(a.now, &steering.SegmentReceived{Segment: steering.Segment{Flow: s.Flow, Flags: steering.FlagOpen | steering.FlagAck}})
-	send(steering.MessageCarry, steering.Segment{Flow: s.Flow, Flags: steering.FlagAck, Len: 100})
+	return true
+}
+
+// open opens a flow and sends a request over it, or returns nil if it is refused.
+func (a *busyAgent) open(brief bool) *steering.Flow {
+	s := a.next()
+	if !a.offer(s, brief) {
+		return nil
+	}
+	a.fromBalancer(steering.MessageCarry, steering.Segment{Flow: s.Flow, Flags: steering.FlagAck, Len: 100}, brief)
 	return &s.Flow
 }
 
--- a/internal/core/steering/work.go
+++ b/internal/core/steering/work.go
@@ -30,6 +30,28 @@
 	return brief > 0 && float64(brief) <= cheapShare*float64(other)
 }
 
+// opening is a flow that was opened at a time.
+type opening struct {
+	flow *flow
+	at   time.Time
+}
+
+// giveUpExpected frees the places of flows whose callers have not gone on. Load: after
+// a loss of power many callers leave while their openings wait.
+func (s *flowSection) giveUpExpected(now time.Time) {
+	n := 0
+	for n < len(s.openings) && now.Sub(s.openings[n].at) > expectTimeout {
+		if f := s.openings[n].flow; f.expected {
+			s.setExpected(f, false)
+			s.setBusy(f, false)
+		}
+		n++
+	}
+	if n > 0 {
+		s.openings = s.openings[:copy(s.openings, s.openings[n:])]
+	}
+}
+
 func (s *flowSection) setExpected(f *flow, expected bool) {
 	setCounted(&f.expected, expected, &s.expected)
 }
