--- a/internal/core/steering/backward.go
+++ b/internal/core/steering/backward.go
@@ -20,9 +20,10 @@
 	last               time.Time
 }
 
-// startedBefore reports whether the target has started again although its lifetime
-// lies before the known one, which must have fallen silent.
-func (t *targetSection) startedBefore(now time.Time, h *Heartbeat) bool {
+// noteEarlier notes a heartbeat of a lifetime that lies before the known one. It
+// reports whether the target has started again nevertheless: the known lifetime must
+// have fallen silent.
+func (t *targetSection) noteEarlier(now time.Time, h *Heartbeat) bool {
 	b := &t.backward
 	silent := now.Sub(t.lastBeat) > missedHeartbeats*t.interval
 	if h.Lifetime != b.lifetime || !silent && !t.gone {
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -61,8 +61,9 @@
 	// wantedSince and wantedUntil bound the time in which an agent of another
 	// failure domain is wanted.
 	wantedSince, wantedUntil time.Time
-	// full is set for a class when the agent refuses its flow as its target has all the work that
-	// it can queue, until it says how much there is: it invites whom it has refused.
+	// full is set for a class of which the agent has refused a flow, as its target has
+	// all the work that it can queue, until it says how much there is: it invites whom
+	// it has refused.
 	full [waitClasses]bool
 	// avoidUntil is set by a refusal.
 	avoidUntil time.Time
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -12,8 +12,14 @@
 	// maxQueued bounds the waiting segments: a second of new flows at a balancer
 	// that carries its share of 41,000 a second, ten times over.
 	maxQueued = 1000
+	// repeatSlack is how late a copy may come: a way between failure domains, and the
+	// lag of a small balancer under load.
+	repeatSlack = 100 * time.Millisecond
 )
 
+// repeatAt is when callers repeat an opening segment, after the first.
+var repeatAt = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+
 // waitClass orders the segments that wait. Load: targets are short of slots for long,
 // while flows that stay open fill them with requests.
 type waitClass int
@@ -31,6 +37,7 @@
 	return classFor(r != nil && r.Brief)
 }
 
+// classFor returns the class of flows that carry one request, or more.
 func classFor(brief bool) waitClass {
 	if brief {
 		return classBrief
@@ -136,13 +143,6 @@
 	return true
 }
 
-// repeatAt is when callers repeat an opening segment, after the first.
-var repeatAt = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
-
-// repeatSlack is how late a copy may come: a way between failure domains, and the
-// lag of a small balancer under load.
-const repeatSlack = 100 * time.Millisecond
-
 // callerLeft reports whether a copy of the waiting segment is overdue. Load: after a
 // loss of power many callers have run out of time; an agent would keep a place for
 // each. A copy that was merely lost costs its caller the time to the next one.
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -107,7 +107,7 @@
 func (a *Agent) handleHeartbeat(now time.Time, h *Heartbeat) {
 	t := &a.target
 	switch {
-	case t.known && h.Lifetime < t.lifetime && !t.startedBefore(now, h),
+	case t.known && h.Lifetime < t.lifetime && !t.noteEarlier(now, h),
 		t.known && h.Lifetime == t.lifetime && h.Sequence <= t.sequence:
 		a.Counters.HeartbeatsIgnored.Add(1)
 		a.report(Report{Text: "Heartbeat is out of date.", Node: h.Instance})
