Soak: break the promises towards callers at many flows

The same was known of foreign answers, which go to a hundred flows. Now resets do too; what the check has to notice is the same.

--- a/standin/soak/sabotage.go
+++ b/standin/soak/sabotage.go
@@ -37,15 +37,9 @@
 	a := r.agents[1] // of the domain that is taken out
 	switch what {
 	case SabotageReset:
-		f := r.anyFlow()
-		r.toCaller(platformtest.Packet(f.Address, f.Caller, platformtest.Rst, 1, 0, nil))
+		r.toCallers(platformtest.Rst, nil)
 	case SabotageAnswer:
-		// A caller looks at answers while it waits for one.
-		for range 100 {
-			f := r.anyFlow()
-			r.toCaller(platformtest.Packet(f.Address, f.Caller, platformtest.Ack, 1, 0, []byte("of another")))
-			r.sleep(10 * time.Millisecond)
-		}
+		r.toCallers(platformtest.Ack, []byte("of another"))
 	case SabotageGarbage:
 		r.toCaller([]byte("no packet"))
 	case SabotageDrain:
@@ -67,6 +61,16 @@
 	}
 }
 
+// toCallers sends packets of open flows to callers: of many, as a caller looks at them
+// only while it waits for an answer, and may have ended its flow by then.
+func (r *run) toCallers(flags byte, data []byte) {
+	for range 100 {
+		f := r.anyFlow()
+		r.toCaller(platformtest.Packet(f.Address, f.Caller, flags, 1, 0, data))
+		r.sleep(10 * time.Millisecond)
+	}
+}
+
 // anyFlow waits for a flow that a target holds and a caller uses, and returns it.
 func (r *run) anyFlow() steering.Flow {
 	for r.ctx.Err() == nil {
