Look for another balancer when the only known one leaves

A balancer that leaves watches nobody, the agent knew no other one, and a session with a balancer of any state kept it from dialing seeds: it sent no heartbeats and had no lease until balancer-2 dialed it 3 s later, so flows with their home there did not open. Test: TestAgentLooksForAnotherBalancerWhenItsOnlyOneLeaves failed first.

--- a/internal/core/dissemination/sessions.go
+++ b/internal/core/dissemination/sessions.go
@@ -55,15 +55,21 @@
 	s.dialer.forgetIdle(t.Now)
 }
 
-// dialSeed dials a random seed while the node has no session with a balancer.
+// dialSeed dials a random seed while the node has no session with a balancer, or
+// only with such that leave: those watch nobody, and nobody else may know the node.
 func (s *sessions) dialSeed(t *core.Turn) {
-	for _, session := range t.Board.Peers.Sessions {
-		if session.Role == model.RoleBalancer {
+	seeds := s.options.Seeds
+	for node, session := range t.Board.Peers.Sessions {
+		if session.Role != model.RoleBalancer {
+			continue
+		}
+		if t.Board.Members.Records[node].State != model.StateDraining {
 			return
 		}
+		seeds = s.unknownSeeds(t.Board)
 	}
-	if len(s.options.Seeds) > 0 {
-		s.dialer.dial(t, s.options.Seeds[t.Rand.IntN(len(s.options.Seeds))])
+	if len(seeds) > 0 {
+		s.dialer.dial(t, seeds[t.Rand.IntN(len(seeds))])
 	}
 }
 
@@ -85,23 +91,32 @@
 // lostAddresses returns the addresses of dead balancers, and the seeds that
 // belong to no known live member.
 func (s *sessions) lostAddresses(b *core.Board) []netip.AddrPort {
-	live := make(map[netip.AddrPort]bool)
-	var lost []netip.AddrPort
+	lost := s.unknownSeeds(b)
 	for _, m := range b.Members.Records {
-		if m.State == model.StateDead && m.Role == model.RoleBalancer {
+		if m.State == model.StateDead && m.Role == model.RoleBalancer && !slices.Contains(lost, m.Control) {
 			lost = append(lost, m.Control)
 		}
+	}
+	slices.SortFunc(lost, netip.AddrPort.Compare)
+	return lost
+}
+
+// unknownSeeds returns the seeds that belong to no known live member, in order.
+func (s *sessions) unknownSeeds(b *core.Board) []netip.AddrPort {
+	live := make(map[netip.AddrPort]bool)
+	for _, m := range b.Members.Records {
 		if !m.Gone() {
 			live[m.Control] = true
 		}
 	}
+	var unknown []netip.AddrPort
 	for _, seed := range s.options.Seeds {
-		if !live[seed] && !slices.Contains(lost, seed) {
-			lost = append(lost, seed)
+		if !live[seed] && !slices.Contains(unknown, seed) {
+			unknown = append(unknown, seed)
 		}
 	}
-	slices.SortFunc(lost, netip.AddrPort.Compare)
-	return lost
+	slices.SortFunc(unknown, netip.AddrPort.Compare)
+	return unknown
 }
 
 func (s *sessions) hangupUnneeded(t *core.Turn, peers *peerList) {
