Store test: give each fault a server of its own

The slow case's write ends 600 ms after it began, which is when its read has given up and the next case begins; if it ends just after, it uses up the one answer that this case wants lost. What each fault has to tell is as it was.

--- a/internal/store/etcd_test.go
+++ b/internal/store/etcd_test.go
@@ -111,23 +111,28 @@
 	for range store.MaxTxnOps + 1 {
 		tooMany.Ops = append(tooMany.Ops, store.Delete{Key: "k"})
 	}
-	server, url := start(t)
 	cases := []struct {
 		name        string
 		faults      standin.Faults
-		endpoint    string
+		refused     bool
 		txn         store.Txn
 		write, read error
 	}{
-		{"refused connection", standin.Faults{}, refused, put("k", "v"), store.ErrUnavailable, store.ErrUnavailable},
-		{"down", standin.Faults{Down: true}, url, put("k", "v"), store.ErrOutcomeUnknown, store.ErrUnavailable},
-		{"slow", standin.Faults{SlowMS: 600}, url, put("k", "v"), store.ErrOutcomeUnknown, store.ErrUnavailable},
-		{"answer lost", standin.Faults{LoseAnswers: 1}, url, put("k", "v"), store.ErrOutcomeUnknown, nil},
-		{"invalid", standin.Faults{}, url, tooMany, store.ErrRejected, nil},
+		{"refused connection", standin.Faults{}, true, put("k", "v"), store.ErrUnavailable, store.ErrUnavailable},
+		{"down", standin.Faults{Down: true}, false, put("k", "v"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		{"slow", standin.Faults{SlowMS: 600}, false, put("k", "v"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		{"answer lost", standin.Faults{LoseAnswers: 1}, false, put("k", "v"), store.ErrOutcomeUnknown, nil},
+		{"invalid", standin.Faults{}, false, tooMany, store.ErrRejected, nil},
 	}
 	for _, c := range cases {
+		// A server of its own: a slow call ends after its caller has given up, and
+		// would use up the next case's fault.
+		server, endpoint := start(t)
+		if c.refused {
+			endpoint = refused
+		}
 		server.SetFaults(c.faults)
-		kv := client(c.endpoint)
+		kv := client(endpoint)
 		if _, err := kv.Txn(t.Context(), c.txn); !errors.Is(err, c.write) {
 			t.Errorf("%s: write: %v", c.name, err)
 		}
