Say once what tests and the soak do alike

Found in reading the change: two places that start a target in place of an ended one (restartTarget), heal that left the store's faults to its callers although its comment said otherwise, three loops that look for resets (requireNoResets), and an agent for tests built twice (newBusyAgent now begins with newLimitedAgent). The header's comment in steerwire told of one bit where there are two. No check changes; the two variants of one test are subtests. No code of the product changes.

--- a/internal/core/steering/limits_test.go
+++ b/internal/core/steering/limits_test.go
@@ -35,13 +35,18 @@
 	a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{Kind: steering.MessagePing, Limits: limits}})
 }
 
-// open offers a new flow of a service and returns why it is refused.
-func (a *limitedAgent) open(service string) steering.Refusal {
+// next returns the opening segment of another flow.
+func (a *limitedAgent) next() steering.Segment {
 	a.port++
-	s := steering.Segment{
+	return steering.Segment{
 		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: a.port}, Address: routeAddress},
 		Flags: steering.FlagOpen,
 	}
+}
+
+// open offers a new flow of a service and returns why it is refused.
+func (a *limitedAgent) open(service string) steering.Refusal {
+	s := a.next()
 	effects := a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{
 		Kind: steering.MessageOpen, Service: steering.ServiceIDOf(service), Segment: s,
 	}})
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -207,25 +207,11 @@
 }
 
 func newBusyAgent() *busyAgent {
-	a := &busyAgent{&limitedAgent{
-		Agent: steering.NewAgent(steering.AgentSelf{Self: steering.Self{Node: "a", Domain: "d"}, Service: "s", HeartbeatInterval: time.Minute}),
-		now:   time.Unix(1000, 0),
-	}}
-	a.Step(a.now, &steering.PreviousRecord{})
-	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Lifetime: 7, Sequence: 1, Slots: 4})
-	a.Step(a.now, &steering.Registered{Lifetime: 7})
+	a := &busyAgent{newLimitedAgent(0, steering.Limits{})}
+	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Lifetime: 7, Sequence: 2, Slots: 4})
 	return a
 }
 
-// next returns the opening segment of another flow.
-func (a *busyAgent) next() steering.Segment {
-	a.port++
-	return steering.Segment{
-		Flow:  steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: a.port}, Address: routeAddress},
-		Flags: steering.FlagOpen,
-	}
-}
-
 // fromBalancer hands the agent a segment.
 func (a *busyAgent) fromBalancer(kind steering.MessageKind, s steering.Segment, brief bool) []steering.Effect {
 	return a.Step(a.now, &steering.MessageReceived{From: limitsPeer, Message: steering.Message{
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -1,6 +1,7 @@
 package steering_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,6 +24,15 @@
 }
 
 // Load: nearly all flows move to other balancers, as one joins.
+func requireNoResets(t *testing.T, callers []*caller) {
+	t.Helper()
+	for _, c := range callers {
+		if c.reset {
+			t.Errorf("flow %s was reset", c.flow)
+		}
+	}
+}
+
 func TestFlowsKeepTheirTargetWhenABalancerJoins(t *testing.T) {
 	w, callers := steady(t, 1, 3, 7, 200)
 	w.addBalancer("b")
@@ -120,11 +130,7 @@
 	w.startBalancer(w.balancers[1])
 	w.run(300 * time.Millisecond)
 	w.askAll(callers, time.Second)
-	for _, c := range callers {
-		if c.reset {
-			t.Errorf("flow %s was reset", c.flow)
-		}
-	}
+	requireNoResets(t, callers)
 	w.storeDown = false
 	w.storeChanged()
 	w.run(5 * time.Second)
@@ -135,42 +141,40 @@
 // all processes do: the agents remember how many they were.
 func TestFlowIsNotLostAsEverythingStartsOverAShrunkenList(t *testing.T) {
 	for _, agentsToo := range []bool{false, true} {
-		w, callers := steady(t, 16, 2, 5, 60)
-		for _, b := range w.balancers {
-			b.up = false
-		}
-		for _, a := range w.agents {
-			a.up = !agentsToo
-		}
-		w.run(balancerPause)
-		w.storeDown = true
-		for _, a := range w.agents[2:] {
-			delete(w.records, a.name)
-		}
-		for _, a := range w.agents {
-			if agentsToo {
-				w.startAgent(a)
+		t.Run(fmt.Sprintf("agents too %v", agentsToo), func(t *testing.T) {
+			w, callers := steady(t, 16, 2, 5, 60)
+			for _, b := range w.balancers {
+				b.up = false
 			}
-		}
-		for _, b := range w.balancers {
-			w.startBalancer(b)
-		}
-		w.run(300 * time.Millisecond)
-		w.askAll(callers, 2*time.Second)
-		for _, c := range callers {
-			if c.reset {
-				t.Errorf("agents too %v: flow %s was reset", agentsToo, c.flow)
+			for _, a := range w.agents {
+				a.up = !agentsToo
 			}
-		}
-		for _, b := range w.balancers {
-			if b.reads > 1 {
-				t.Errorf("agents too %v: a balancer read the store %d times, in which nothing changes", agentsToo, b.reads)
+			w.run(balancerPause)
+			w.storeDown = true
+			for _, a := range w.agents[2:] {
+				delete(w.records, a.name)
 			}
-		}
-		w.storeDown = false
-		w.storeChanged()
-		w.run(5 * time.Second)
-		requireAnswers(t, callers, 2)
+			for _, a := range w.agents {
+				if agentsToo {
+					w.startAgent(a)
+				}
+			}
+			for _, b := range w.balancers {
+				w.startBalancer(b)
+			}
+			w.run(300 * time.Millisecond)
+			w.askAll(callers, 2*time.Second)
+			requireNoResets(t, callers)
+			for _, b := range w.balancers {
+				if b.reads > 1 {
+					t.Errorf("a balancer read the store %d times, in which nothing changes", b.reads)
+				}
+			}
+			w.storeDown = false
+			w.storeChanged()
+			w.run(5 * time.Second)
+			requireAnswers(t, callers, 2)
+		})
 	}
 }
 
@@ -184,11 +188,7 @@
 	w.startBalancer(w.balancers[1])
 	w.run(300 * time.Millisecond)
 	w.askAll(callers, time.Second)
-	for _, c := range callers {
-		if c.reset {
-			t.Errorf("flow %s was reset", c.flow)
-		}
-	}
+	requireNoResets(t, callers)
 }
 
 // The targets end with the power; callers learn at once that their flows are
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -13,8 +13,8 @@
 // version is the first byte of every datagram. A node drops other versions.
 const version = 0xA2
 
-// headerSize is the length of version, kind, verdict, refusal (in an opening
-// segment: whether its requests must not be repeated) and service.
+// headerSize is the length of version, kind, verdict, refusal (in a message that
+// opens a flow: the bits below) and service.
 const headerSize = 8
 
 // Bits of a ping.
--- a/standin/soak/links.go
+++ b/standin/soak/links.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"time"
 
+	"amaranthwheel.example/amaranthwheel/platform/platformtest"
 	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
@@ -87,6 +88,7 @@
 
 // heal ends all faults of the store and of the ways.
 func (r *run) heal() {
+	r.store.SetFaults(platformtest.Faults{})
 	for _, h := range r.hosts() {
 		h.way.Set(relay.None)
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -113,7 +113,6 @@
 		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
-	r.store.SetFaults(platformtest.Faults{})
 	r.heal()
 	r.sleep(settle)
 	before := r.callers.result()
@@ -264,6 +263,11 @@
 	old.mu.Unlock()
 	old.end()
 	time.Sleep(100 * time.Millisecond)
+	r.restartTarget(a)
+}
+
+// restartTarget starts a target in place of one that has ended.
+func (r *run) restartTarget(a *agentHost) {
 	next, err := startTarget(a)
 	if err != nil {
 		r.violate("the target of %s does not start: %v", a.name, err)
--- a/standin/soak/wide.go
+++ b/standin/soak/wide.go
@@ -4,7 +4,6 @@
 	"syscall"
 	"time"
 
-	"amaranthwheel.example/amaranthwheel/platform/platformtest"
 	"amaranthwheel.example/amaranthwheel/standin/relay"
 )
 
@@ -48,7 +47,6 @@
 // there, once the change has to be in force.
 func (r *run) takeOut(domain string) {
 	r.heal()
-	r.store.SetFaults(platformtest.Faults{})
 	r.note("domain %s is taken out for %v", domain, outTime)
 	r.store.Evacuate(domain, true)
 	r.sleep(outGrace)
@@ -92,13 +90,6 @@
 		}
 	}
 	for _, a := range r.agents {
-		next, err := startTarget(a)
-		if err != nil {
-			r.violate("the target of %s does not start: %v", a.name, err)
-			continue
-		}
-		r.mu.Lock()
-		a.target = next
-		r.mu.Unlock()
+		r.restartTarget(a)
 	}
 }
