--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -16,9 +16,10 @@
 	Opening bool
 }
 
-// SavedFlows is the open flows of a target whose requests must not be repeated,
-// as an agent's process left them. After the end of the target its callers
-// learn from them that a flow is gone before they send a request into it.
+// SavedFlows is the open flows of a target, as an agent's process left them. After
+// the end of the target its callers learn from them that a flow is gone before
+// they send a request into it. No search can tell them as long as another host
+// stays dark: its agent might hold the flow.
 type SavedFlows struct {
 	Lifetime int64
 	// Final reports that these are all flows of the target: they were saved as
@@ -37,8 +38,9 @@
 // target at the planned size, in a value of 32 KB.
 const maxSaved = 512
 
-// Saved returns the flows to save, in a fixed order: those of unrepeatable
-// requests, or all of an agent that has stopped and knew all.
+// Saved returns the flows to save, in a fixed order: the open ones, or all of an
+// agent that has stopped and knew all. If there are too many, those of
+// unrepeatable requests go first: their callers lose most by a late answer.
 func (a *Agent) Saved() SavedFlows {
 	if !a.target.known && a.target.saved != nil {
 		// Nothing has happened since: they are as the last process left them.
@@ -46,14 +48,29 @@
 	}
 	out := SavedFlows{Lifetime: a.target.lifetime, Final: a.stopping && a.target.complete}
 	for f, held := range a.flows.byFlow {
-		if out.Final || held.unrepeatable && held.open && !held.closed && len(out.Flows) < maxSaved {
+		if out.Final || held.open && !held.closed {
 			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: held.ack, Opening: !held.open})
 		}
 	}
+	if !out.Final && len(out.Flows) > maxSaved {
+		slices.SortFunc(out.Flows, a.byUrgency)
+		out.Flows = out.Flows[:maxSaved]
+	}
 	sortSaved(out.Flows)
 	return out
 }
 
+// byUrgency puts flows of unrepeatable requests first, in a fixed order.
+func (a *Agent) byUrgency(x, y SavedFlow) int {
+	if p, q := a.flows.byFlow[x.Flow].unrepeatable, a.flows.byFlow[y.Flow].unrepeatable; p != q {
+		if p {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(x.Flow.Hash(), y.Flow.Hash())
+}
+
 func sortSaved(flows []SavedFlow) {
 	slices.SortFunc(flows, func(x, y SavedFlow) int { return cmp.Compare(x.Flow.Hash(), y.Flow.Hash()) })
 }
