Front: a planned stop serves the handshakes in progress

The HTTP/3 server serves no connection whose handshake completes after its shutdown has begun.

Change: the shutdown refuses new connections under the lock that counts them, and waits until the server has begun to serve every counted one, for 3 s at most, which is the handshake timeout of a silent caller.

Ruled out: a longer fixed time; a stall is as long as it is.

--- a/internal/agent/front/front.go
+++ b/internal/agent/front/front.go
@@ -30,9 +30,13 @@
 	maxStreams = 100
 	// handOverHeaderTimeout bounds the reading of a handed-over request's header.
 	handOverHeaderTimeout = 5 * time.Second
-	// handshakeSettleTime is how long a shutdown waits for handshakes in progress.
-	handshakeSettleTime = 200 * time.Millisecond
-	tracerName          = "amaranthwheel.example/amaranthwheel/internal/agent/front"
+	// handshakeTimeout bounds a caller's silence during its handshake, and the time
+	// that a shutdown waits for handshakes in progress.
+	handshakeTimeout = 3 * time.Second
+	// handshakePollInterval is the interval at which a shutdown checks for handshakes
+	// in progress.
+	handshakePollInterval = 10 * time.Millisecond
+	tracerName            = "amaranthwheel.example/amaranthwheel/internal/agent/front"
 )
 
 // EventSink passes the front's events to the node. Submit must not call the front
@@ -83,7 +87,6 @@
 	decisionQueues  map[core.RequestID]chan core.RequestEffect
 	transport       *quic.Transport
 	closingAttempts sync.WaitGroup
-	closing         atomic.Bool // new connections are refused
 }
 
 // New returns a front without a target.
@@ -100,7 +103,7 @@
 		requestSlots:   make(chan struct{}, opts.MaxRequests),
 		decisionQueues: make(map[core.RequestID]chan core.RequestEffect),
 	}
-	f.flows = flowTracker{connsByFlow: make(map[model.FlowKey][]*quic.Conn), events: opts.Events, service: opts.Service}
+	f.flows = newFlowTracker(opts.Events, opts.Service)
 	f.target.Store(&Target{})
 	f.server = &http3.Server{Handler: http.HandlerFunc(f.serveCaller), ConnContext: f.flows.connContext}
 	f.handOverServer = &http.Server{
@@ -130,6 +133,7 @@
 func (f *Front) quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:          f.opts.IdleTimeout,
+		HandshakeIdleTimeout:    handshakeTimeout,
 		MaxIncomingStreams:      maxStreams,
 		InitialPacketSize:       quicPacketSize,
 		DisablePathMTUDiscovery: true,
@@ -145,11 +149,8 @@
 // admitConnection rejects handshakes during a shutdown and above the target's
 // connection limit.
 func (f *Front) admitConnection(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-	if f.closing.Load() {
-		return nil, errClosing
-	}
-	if !f.flows.reserveConnection(f.target.Load().MaxConnections) {
-		return nil, errTooManyConnections
+	if err := f.flows.reserveConnection(f.target.Load().MaxConnections); err != nil {
+		return nil, err
 	}
 	context.AfterFunc(ctx, f.flows.releaseConnection)
 	return ctx, nil
@@ -175,13 +176,20 @@
 }
 
 // refuseConnections refuses new connections and waits for handshakes in progress:
-// a connection accepted during the server's shutdown would receive neither
-// responses nor a GOAWAY.
+// the server serves no connection whose handshake completes after its shutdown has
+// begun. The wait is bounded by handshakeTimeout, as a caller may have left.
 func (f *Front) refuseConnections(ctx context.Context) {
-	f.closing.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(handshakeSettleTime):
+	f.flows.refuseConnections()
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	poll := time.NewTicker(handshakePollInterval)
+	defer poll.Stop()
+	for f.flows.pendingHandshakes() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
 	}
 }
 
--- a/internal/agent/front/listener.go
+++ b/internal/agent/front/listener.go
@@ -40,17 +40,59 @@
 
 	mu          sync.Mutex
 	connsByFlow map[model.FlowKey][]*quic.Conn
-	reserved    int // number of connections, including those in handshake
+	reserved    int  // number of connections, including those in handshake
+	closing     bool // new connections are refused
+	// served are the open connections that the server has begun to serve.
+	served map[*quic.Conn]struct{}
 }
 
-func (t *flowTracker) reserveConnection(limit int) bool {
+func newFlowTracker(events EventSink, service model.ServiceID) flowTracker {
+	return flowTracker{
+		events: events, service: service,
+		connsByFlow: make(map[model.FlowKey][]*quic.Conn), served: make(map[*quic.Conn]struct{}),
+	}
+}
+
+// reserveConnection counts a connection whose handshake begins. It fails during a
+// shutdown and above the limit.
+func (t *flowTracker) reserveConnection(limit int) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closing {
+		return errClosing
+	}
 	if t.reserved >= limit {
-		return false
+		return errTooManyConnections
 	}
 	t.reserved++
-	return true
+	return nil
+}
+
+// refuseConnections makes further reservations fail.
+func (t *flowTracker) refuseConnections() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closing = true
+}
+
+// pendingHandshakes returns the number of connections that the server does not serve
+// yet.
+func (t *flowTracker) pendingHandshakes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.reserved-len(t.served))
+}
+
+// addServed records that the server serves the connection until it ends.
+func (t *flowTracker) addServed(conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served[conn] = struct{}{}
+	context.AfterFunc(conn.Context(), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.served, conn)
+	})
 }
 
 func (t *flowTracker) releaseConnection() {
@@ -106,9 +148,11 @@
 
 type flowContextKey struct{}
 
-// connContext stores the flow of a connection in the context of its requests,
-// because the remote address may change when a caller migrates.
+// connContext is called when the server begins to serve a connection. It stores the
+// connection's flow in the context of its requests, because the remote address may
+// change when a caller migrates.
 func (t *flowTracker) connContext(ctx context.Context, conn *quic.Conn) context.Context {
+	t.addServed(conn)
 	return context.WithValue(ctx, flowContextKey{}, t.flowKey(conn.RemoteAddr()))
 }
 
