Stand-ins: record refusal reasons, wait for handlers, count datagrams to the end

Cause: three checks measured the machine. The relay's test took 150 ms without a datagram for the end, which a busy host reaches with delays of 20 ms. A failed scenario left no ledger of its callers, and ledgers had no reason of a refusal.

Change: a target's stop waits until its handlers have returned; the test stops the target before the exporter. The relay's test waits up to 10 s for the datagrams that must arrive and then looks for others for 150 ms, as before. Failed scenarios keep the ledgers of running callers; requests have the reason of their refusal.

--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -108,6 +108,7 @@
 // classifyStatus sets the outcome of an answer with an error status.
 func classifyStatus(resp *http.Response, r *workload.Request) {
 	r.Outcome = workload.RequestUnknown
+	r.Reason = resp.Header.Get(workload.HeaderReason)
 	if resp.Header.Get(workload.HeaderOutcome) == workload.OutcomeNotRun {
 		r.Outcome = workload.RequestRefused
 	}
--- a/standin/caller/trace_test.go
+++ b/standin/caller/trace_test.go
@@ -63,6 +63,9 @@
 	b := newBench(t, model.ModeRequest, nil)
 	b.caller.MaxRequests = requests
 	b.run(t)
+	// A target's span ends after its answer was sent: its handlers must have returned.
+	b.agent.Close()
+	b.target.Stop()
 	if err := stop(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/relay/datagrams_test.go
+++ b/standin/relay/datagrams_test.go
@@ -20,14 +20,22 @@
 
 func localAddr(conn *net.UDPConn) netip.AddrPort { return conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// countArrivals counts the datagrams received until none arrives for the time quiet,
-// and returns the sender of the last one.
-func countArrivals(t *testing.T, conn *net.UDPConn) (int, netip.AddrPort) {
+// arrivalTimeout bounds the wait for a datagram that must arrive.
+const arrivalTimeout = 10 * time.Second
+
+// countArrivals waits for the wanted number of datagrams, then counts further ones
+// until none arrives for the time quiet. It returns how many arrived in all and the
+// sender of the last one.
+func countArrivals(t *testing.T, conn *net.UDPConn, want int) (int, netip.AddrPort) {
 	t.Helper()
 	var from netip.AddrPort
 	buf := make([]byte, 100)
 	for n := 0; ; n++ {
-		if err := conn.SetReadDeadline(time.Now().Add(quiet)); err != nil {
+		timeout := quiet
+		if n < want {
+			timeout = arrivalTimeout
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			t.Fatal(err)
 		}
 		_, sender, err := conn.ReadFromUDPAddrPort(buf)
@@ -69,14 +77,14 @@
 				}
 			}
 			send(client, localAddr(d.listener))
-			_, sourceAddr := countArrivals(t, upstream)
+			_, sourceAddr := countArrivals(t, upstream, sent)
 			d.SetFault(tt.fault)
 			send(client, localAddr(d.listener))
-			if got, _ := countArrivals(t, upstream); got != tt.forwarded {
+			if got, _ := countArrivals(t, upstream, tt.forwarded); got != tt.forwarded {
 				t.Errorf("%d datagrams arrive, want %d", got, tt.forwarded)
 			}
 			send(upstream, sourceAddr)
-			if got, _ := countArrivals(t, client); got != tt.returned {
+			if got, _ := countArrivals(t, client, tt.returned); got != tt.returned {
 				t.Errorf("%d replies arrive, want %d", got, tt.returned)
 			}
 		})
--- a/standin/scenario/process.go
+++ b/standin/scenario/process.go
@@ -117,6 +117,11 @@
 	return p, nil
 }
 
+// isCaller reports whether the process is a load of the caller stand-in.
+func (p *process) isCaller() bool {
+	return filepath.Base(p.cmd.Path) == standinProgram && len(p.cmd.Args) > 1 && p.cmd.Args[1] == callerCommand
+}
+
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.done:
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -74,10 +75,13 @@
 	h.mu.Lock()
 	processes := maps.Clone(h.processes)
 	h.mu.Unlock()
+	destination := os.Getenv(logsEnv)
+	if destination != "" {
+		h.fetchCallerLedgers()
+	}
 	for _, p := range processes {
 		p.kill()
 	}
-	destination := os.Getenv(logsEnv)
 	if destination == "" {
 		return
 	}
@@ -87,6 +91,24 @@
 	}
 }
 
+// fetchCallerLedgers writes the ledgers of the loads that still run, which a failed
+// script has not ended.
+func (h *harness) fetchCallerLedgers() {
+	for name, p := range h.processes {
+		file := filepath.Join(h.work, callerLedgerDir, name+".json")
+		if _, err := os.Stat(file); err == nil || !p.isCaller() {
+			continue
+		}
+		ledger, err := h.sendRequest(http.MethodGet, name, "/ledger", "")
+		if err == nil {
+			err = os.WriteFile(file, ledger, 0o644)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "ledger of %s: %v\n", name, err)
+		}
+	}
+}
+
 // command is a custom testscript command. An error from run fails the script.
 type command struct {
 	usage   string
--- a/standin/scenario/standincmds.go
+++ b/standin/scenario/standincmds.go
@@ -14,6 +14,9 @@
 // standinProgram is the program of the stand-ins.
 const standinProgram = "standin"
 
+// callerCommand is the subcommand of standinProgram that puts load on a service.
+const callerCommand = "caller"
+
 // standinCommands returns the commands that control targets and callers.
 func standinCommands() map[string]command {
 	return map[string]command{
@@ -41,7 +44,7 @@
 // cmdLoad starts a caller stand-in with a ledger and an admin address.
 func cmdLoad(h *harness, ts *testscript.TestScript, args []string) error {
 	ledger := filepath.Join(h.work, callerLedgerDir, args[0]+".json")
-	return h.startStandin(ts, "caller", args, ledger)
+	return h.startStandin(ts, callerCommand, args, ledger)
 }
 
 // startStandin starts a stand-in with a ledger, and with an admin address if the
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -20,6 +20,9 @@
 // idlePoll is how often a stopping target looks whether its work is done.
 const idlePoll = 20 * time.Millisecond
 
+// handlerTimeout bounds the wait for handlers that were cut.
+const handlerTimeout = time.Second
+
 // Target is a running target.
 type Target struct {
 	cfg       Config
@@ -42,6 +45,8 @@
 	cut      atomic.Bool
 	// slow is the time added to each request's work, in nanoseconds.
 	slow atomic.Int64
+	// handlers is the number of requests whose handlers have not returned.
+	handlers atomic.Int64
 }
 
 // Start checks the settings, binds the addresses and starts to serve and to
@@ -126,10 +131,19 @@
 	if t.flows != nil {
 		t.flows.Close()
 	}
+	t.waitForHandlers()
 	t.workers.Wait()
 	t.check(t.ledger.close())
 }
 
+// waitForHandlers waits until the handlers of requests have returned, which may be
+// after their responses were sent, so that their spans are complete.
+func (t *Target) waitForHandlers() {
+	for end := time.Now().Add(handlerTimeout); t.handlers.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(idlePoll)
+	}
+}
+
 // listen binds the service's and the admin address and serves both.
 func (t *Target) listen() error {
 	admin, err := net.Listen("tcp", t.cfg.Admin)
--- a/standin/target/trace.go
+++ b/standin/target/trace.go
@@ -14,6 +14,8 @@
 // the span of the hop before.
 func (t *Target) traced(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.handlers.Add(1)
+		defer t.handlers.Add(-1)
 		ctx, span := obs.Tracer("target").Start(obs.Extract(r.Context(), r.Header), "target",
 			trace.WithSpanKind(trace.SpanKindServer),
 			trace.WithAttributes(
--- a/standin/workload/headers.go
+++ b/standin/workload/headers.go
@@ -16,6 +16,8 @@
 	HeaderAgentTarget = "Amaranthwheel-Target"
 	// HeaderOutcome is the outcome of a request that has no response from a target.
 	HeaderOutcome = "Amaranthwheel-Outcome"
+	// HeaderReason is why the system refused a request.
+	HeaderReason = "Amaranthwheel-Reason"
 )
 
 // Values of HeaderOutcome.
--- a/standin/workload/requests.go
+++ b/standin/workload/requests.go
@@ -50,6 +50,8 @@
 	Done    time.Time      `json:"done,omitzero"`
 	Outcome RequestOutcome `json:"outcome"`
 	Status  int            `json:"status,omitempty"`
+	// Reason is why the system refused the request, as it reported.
+	Reason string `json:"reason,omitempty"`
 	// ResponseID is the request ID in the response. It differs from ID when
 	// the response to an earlier request with the same key is replayed.
 	ResponseID string        `json:"answer_id,omitempty"`
