Directory: a closed endpoint gives its flows back to their homes

The first datagram of flow 591 did not reach agent-lease-desk-3, which had accepted the flow, before its front had shut down (64 ms after the stop began); the caller's copies were delivered to the closed front until its deadline, and the agent held the flow for 11 s of its stop.

Change: the agent reports that its local endpoint is closed (core.EndpointClosed); the directory releases all local flows to their homes, which place the next copy at another agent. The stop no longer waits for such flows.

Result: TestClosedEndpointReturnsItsFlows failed before (the datagram went to the closed endpoint, the home was not told), passes now.

--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -200,6 +200,7 @@
 		return
 	}
 	err := local.shutdown(ctx)
+	p.base.Loop.Post(core.EndpointClosed{})
 	remaining := 0
 	p.base.Inspect(func(b *core.Board) { remaining = b.Load.InFlight })
 	switch {
--- a/internal/core/directory/controller.go
+++ b/internal/core/directory/controller.go
@@ -65,6 +65,8 @@
 		c.markEstablished(t, ev.Flow)
 	case core.FlowClosed:
 		c.handleFlowClosed(t, ev.Flow)
+	case core.EndpointClosed:
+		c.releaseLocalFlows(t)
 	case core.Tick:
 		c.handleTick(t)
 	}
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -319,3 +319,37 @@
 		h.advance(time.Second)
 	})
 }
+
+// An agent that is stopping holds a flow whose caller's first datagram was lost. Once
+// its local endpoint is closed, the retransmission must be placed at another agent
+// instead of being left without a response.
+func TestClosedEndpointReturnsItsFlows(t *testing.T) {
+	h := newHarness(t)
+	board := h.node.Board()
+	board.Self.TargetAccepted = true
+	h.advance(time.Second)
+	flow, home := h.flowWithLocalHome(), h.peers[0]
+	h.receivePlacement(home, &placementpb.Placement{Body: &placementpb.Placement_Offer{
+		Offer: &placementpb.Offer{Flow: encodeFlow(flow), Epoch: 1},
+	}})
+	if board.Flows.Local != 1 {
+		t.Fatalf("%d local flows after an accepted offer, want 1", board.Flows.Local)
+	}
+	h.node.Step(h.now, core.EndpointClosed{})
+	if board.Flows.Local != 0 {
+		t.Errorf("%d local flows after the endpoint was closed, want 0", board.Flows.Local)
+	}
+	effects := h.node.Step(h.now, core.DatagramReceived{
+		From:    home.DataAddr,
+		Header:  wire.Header{Kind: wire.KindForward, Service: flow.Service, Caller: flow.Caller},
+		Payload: initialPacket,
+	})
+	for _, e := range effects {
+		if _, ok := e.(core.DeliverDatagram); ok {
+			t.Error("the datagram is delivered to the closed endpoint")
+		}
+	}
+	if release := placementsSent(effects)[home.DataAddr].GetRelease(); release == nil {
+		t.Error("the home is not told that the flow has no holder")
+	}
+}
--- a/internal/core/directory/localflow.go
+++ b/internal/core/directory/localflow.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// releaseLocalFlows removes the flows that have begun no handshake at the closed local
+// endpoint, so that their homes place them at other agents.
+func (c *Controller) releaseLocalFlows(t *core.Turn) {
+	for _, flow := range sortedFlows(c.localFlows) {
+		c.handleFlowClosed(t, flow)
+	}
+}
+
 // dropLocalFlow closes a local flow that this agent must no longer serve.
 func (c *Controller) dropLocalFlow(t *core.Turn, flow model.FlowKey, reason string) {
 	delete(c.localFlows, flow)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -82,6 +82,10 @@
 // FlowClosed reports that a local flow has closed.
 type FlowClosed struct{ Flow model.FlowKey }
 
+// EndpointClosed reports that an agent that is stopping has closed its local endpoint:
+// its flows have ended, or have never begun their handshake.
+type EndpointClosed struct{}
+
 // StopRequested starts a planned stop.
 type StopRequested struct{}
 
@@ -97,4 +101,5 @@
 func (TargetWithdrawn) event()  {}
 func (FlowEstablished) event()  {}
 func (FlowClosed) event()       {}
+func (EndpointClosed) event()   {}
 func (StopRequested) event()    {}
