Queue openings by their callers' first copies

The routers' choice of balancers changes meanwhile, a third of the copies that arrive are second or third ones at a balancer that has not seen the first; these counted as the newest and went before callers who could still be served in time, and stayed up to 0.6 s after their caller had abandoned the attempt.

Change: a queue is ordered by the time of the first copy, which a copy's number tells; the timeout counts from there too.

Result: both new tests failed before.

--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -47,10 +47,12 @@
 	search     *search
 	// trials counts the trial deliveries to unsure agents.
 	trials int
-	// queuedSegment is the opening segment that waits since queuedAt. lastCopy is the
-	// number of the caller's last retransmission.
+	// queuedSegment is the opening segment that waits since queuedAt. firstSent is when
+	// the caller sent the first copy, by the copies' schedule; lastCopy is the number of
+	// its last retransmission.
 	queuedSegment Segment
 	queuedAt      time.Time
+	firstSent     time.Time
 	lastCopy      uint32
 }
 
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// queueTimeout is how long an opening segment waits for an agent. Callers abandon
-	// an attempt after 1.4 s.
+	// queueTimeout is the age of an opening segment, counted from the caller's first
+	// copy, after which it no longer waits for an agent. Callers abandon an attempt
+	// after 1.4 s.
 	queueTimeout = 1200 * time.Millisecond
 	// maxQueued bounds the queued segments: ten times the new flows of a second at a
 	// balancer with its share of 41,000 a second.
@@ -38,6 +39,15 @@
 	return classFor(r != nil && r.SingleRequest)
 }
 
+// copyAge returns how long after the first copy of an opening segment a caller sends
+// the copy with the number.
+func copyAge(number uint32) time.Duration {
+	if number == 0 {
+		return 0
+	}
+	return retransmitAt[min(int(number), len(retransmitAt))-1]
+}
+
 // classFor returns the class of flows with a single request, or with more.
 func classFor(singleRequest bool) flowClass {
 	if singleRequest {
@@ -65,16 +75,37 @@
 			return
 		}
 		b.Counters.Queued.Add(1)
+		e.firstSent = now.Add(-copyAge(s.Ack))
 		e.queuedSegment, e.lastCopy = s, s.Ack
 		e.queuedSegment.Raw = slices.Clone(s.Raw)
 		class := routeClass(r)
-		b.queues[class] = append(b.queues[class], s.Flow)
+		b.insertQueued(class, s.Flow, e.firstSent)
 		b.report(Report{Text: "Flow is queued for an agent.", Flow: s.Flow, Route: r.Name, Version: b.Version()})
 	}
 	e.numOffered = 0
 	e.setStage(stageQueued, nil, now)
 }
 
+// insertQueued adds a flow to the queue of its class, which is ordered by the time of
+// the callers' first copies. After a loss of power the routers' choice of balancers
+// changes, and the later copies of many openings reach a balancer that has not seen
+// the first: arriving last, they would be served before callers who can still be
+// answered in good time.
+func (b *Balancer) insertQueued(class flowClass, f Flow, firstSent time.Time) {
+	q := b.queues[class]
+	at := len(q)
+	for at > 0 && b.sentAfter(q[at-1], firstSent) {
+		at--
+	}
+	b.queues[class] = slices.Insert(q, at, f)
+}
+
+// sentAfter reports whether the first copy of a queued flow was sent after the time.
+func (b *Balancer) sentAfter(f Flow, t time.Time) bool {
+	e := b.entries[f]
+	return e != nil && e.firstSent.After(t)
+}
+
 // abandonOpening drops an opening segment. The caller retries by itself.
 func (b *Balancer) abandonOpening(f Flow, r *Route, reason string) {
 	b.Counters.OpenExpired.Add(1)
@@ -134,7 +165,7 @@
 		b.resetFlow(e.queuedSegment, "no route")
 		delete(b.entries, f)
 		return false
-	case now.Sub(e.queuedAt) > queueTimeout:
+	case now.Sub(e.firstSent) > queueTimeout:
 		if e.stage == stageQueued {
 			b.abandonOpening(f, r, "queue timeout")
 		}
@@ -151,12 +182,8 @@
 // slot for each. If a retransmission was merely lost, the caller waits until the
 // next one.
 func (e *flowEntry) callerGaveUp(now time.Time) bool {
-	firstSent := e.queuedAt
-	if seen := int(e.queuedSegment.Ack); seen > 0 {
-		firstSent = firstSent.Add(-retransmitAt[min(seen, len(retransmitAt))-1])
-	}
 	next := int(e.lastCopy)
-	return next < len(retransmitAt) && now.Sub(firstSent) > retransmitAt[next]+retransmitSlack
+	return next < len(retransmitAt) && now.Sub(e.firstSent) > retransmitAt[next]+retransmitSlack
 }
 
 // offerQueuedSegment offers a queued segment and reports false if no agent has
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -155,6 +155,52 @@
 	}
 }
 
+// offeredCallers returns the ports of the callers whose flows the balancer offers when
+// the agent reports free places.
+func (b *queueingBalancer) offeredCallers(agent, places int) []uint16 {
+	var ports []uint16
+	for _, e := range b.sendStatus(agent, uint16(2*slotsPerTarget-places)) {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageOpen {
+			ports = append(ports, e.Message.Segment.Flow.Caller.Port)
+		}
+	}
+	return ports
+}
+
+// After a loss of power the routers' choice of balancers changes while callers repeat
+// their openings: most second and third copies reach a balancer that has not seen the
+// first. The callers who have waited least must still be served first
+// (songline-bkk-grown trouble-2, 34 s to 38 s).
+func TestQueueIsOrderedByTheCallersFirstCopies(t *testing.T) {
+	b := newQueueingBalancer(1)
+	b.retransmit(1, routeAddress, 0)
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.retransmit(2, routeAddress, 2) // sent first 590 ms before that of caller 1
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.retransmit(3, routeAddress, 1) // sent first 180 ms before
+	if got := b.offeredCallers(0, 1); len(got) != 1 || got[0] != 1 {
+		t.Errorf("callers %v are offered first, want 1", got)
+	}
+	if got := b.offeredCallers(0, 1); len(got) != 1 || got[0] != 3 {
+		t.Errorf("callers %v are offered next, want 3", got)
+	}
+}
+
+// A caller abandons its attempt 1.4 s after the first copy, whichever balancer received
+// that. A place that is given to it later stays empty.
+func TestOpeningLeavesTheQueueByTheAgeOfItsFirstCopy(t *testing.T) {
+	b := newQueueingBalancer(1)
+	b.retransmit(1, routeAddress, 2) // its first copy is 600 ms old
+	b.now = b.now.Add(700 * time.Millisecond)
+	b.Step(b.now, &steering.Tick{})
+	if got := b.offeredCallers(0, 1); len(got) != 0 {
+		t.Errorf("callers %v are offered 1.3 s after their first copy, want none", got)
+	}
+	if got := b.Counters.OpenExpired.Load(); got != 1 {
+		t.Errorf("%d openings expired, want 1", got)
+	}
+}
+
 // Requests over open flows use all that a target may queue. Single-request flows
 // must still open if they are known to be cheap, and only then.
 func TestCheapSingleRequestFlowsOpenAtABusyTarget(t *testing.T) {
