Agents tell that no target runs; searches no longer wait for hosts that have left

Cause: after a loss of power callers of lost flows waited for their deadlines. Besides, a cached flow of an agent that had been removed was forwarded to its address for ever.

Change: an agent deletes its record when its target deregisters. One that has heard of no target for three heartbeat intervals connects to the target's address; if that refuses, and the target has sent nothing, it rules out all flows, tells their callers and the searches that it had left unsure, and deletes its record; at a stop before the first heartbeat it probes too. Counts of agents are taken from the latest replies and asked for again every 2 s while they hold up a search. A cached flow of a removed agent is searched.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -44,6 +44,10 @@
 	sentRefusal Refusal
 	// sentRevision is the configuration revision that balancers were last notified of.
 	sentRevision uint64
+	// unsureQueries are the queries that could not be answered, oldest first.
+	unsureQueries []unsureQuery
+	// startedAt is the time of the first step.
+	startedAt time.Time
 	// stopping is set by a graceful shutdown.
 	stopping        bool
 	capacityWaiters capacityWaitList
@@ -66,6 +70,9 @@
 	if suspended := a.suspensions.recordStep(now); suspended > 0 {
 		a.report(suspensionReport(suspended))
 	}
+	if a.startedAt.IsZero() {
+		a.startedAt = now
+	}
 	a.flows.expireAwaitedRequests(now)
 	switch e := e.(type) {
 	case *SegmentReceived:
@@ -78,6 +85,8 @@
 		a.handleHeartbeat(now, e)
 	case *TargetDeregistered:
 		a.handleDeregistered(e)
+	case *TargetProbed:
+		a.handleProbed(now, e)
 	case *PreviousRecord:
 		a.handlePreviousRecord(now, e)
 	case *RecordStored:
@@ -87,11 +96,13 @@
 	case *Tick:
 		a.flows.sweep(now)
 		a.reportSilentTarget(now)
+		a.probeMissingTarget(now)
 		a.balancers.tick(now)
 		a.maintainPersistence(now)
 	case *SavedFlows:
 		a.restoreSavedFlows(now, e)
 	}
+	a.answerUnsureQueries()
 	a.advertiseChange(now)
 	a.notifyCapacity(now)
 	return a.effects
@@ -105,10 +116,7 @@
 		a.handleForward(now, from, msg)
 	case MessageQuery:
 		a.Counters.Queries.Add(1)
-		verdict := a.flowVerdict(msg.Flow, msg.Ack)
-		a.send(from, Message{
-			Kind: MessageReply, Flow: msg.Flow, Verdict: verdict, MemberRevision: a.memberRevision, Agents: a.balancers.countAgents(),
-		})
+		a.answerQuery(unsureQuery{flow: msg.Flow, ack: msg.Ack, from: from})
 	case MessagePing:
 		a.balancers.recordPing(now, from, msg)
 		a.updateLimits(msg.Limits)
--- a/internal/core/steering/clock_rollback_test.go
+++ b/internal/core/steering/clock_rollback_test.go
@@ -44,6 +44,18 @@
 	return steering.NotRefused
 }
 
+// verdictOn returns the agent's reply to a query for a flow of the caller's port.
+func (a *heartbeatAgent) verdictOn(port uint16) steering.Verdict {
+	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Address: routeAddress}
+	from := netip.MustParseAddrPort("10.0.0.2:7000")
+	for _, e := range a.Step(a.now, &steering.MessageReceived{From: from, Message: steering.Message{Kind: steering.MessageQuery, Flow: flow}}) {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageReply {
+			return e.Message.Verdict
+		}
+	}
+	return steering.VerdictUnsure
+}
+
 // A target restarts after its host's clock was set back: its incarnation seems older
 // than the previous one.
 func TestRestartedTargetIsAcceptedAfterClockRollback(t *testing.T) {
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -126,6 +126,16 @@
 	return ended
 }
 
+// anyResponded reports whether the target has sent a segment of a known flow.
+func (s *flowSection) anyResponded() bool {
+	for _, local := range s.byFlow {
+		if local.responded {
+			return true
+		}
+	}
+	return false
+}
+
 // addSaved adds saved flows of which nothing newer is known.
 func (s *flowSection) addSaved(now time.Time, flows []SavedFlow) {
 	for _, f := range flows {
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -196,6 +196,9 @@
 // or starts finding the holder.
 func (b *Balancer) forwardSegment(now time.Time, s Segment) {
 	e := b.touchEntry(now, s.Flow)
+	if e.stage == stageHeld && e.agent.removed {
+		e.setStage(stageNew, nil, now)
+	}
 	switch e.stage {
 	case stageOpening, stageHeld:
 		e.stage = stageHeld
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -50,6 +50,9 @@
 	seed    uint64
 	local   bool
 	listed  bool
+	// removed is set when the agent was removed from the members, for the cache entries
+	// that still refer to it.
+	removed bool
 	status  Status
 	// knownSince is when the agent was first listed at this balancer.
 	knownSince time.Time
@@ -66,6 +69,10 @@
 	// cleared by the next status: the agent sends one to balancers that it has refused
 	// once it has capacity.
 	full [numFlowClasses]bool
+	// agentCount is the number of agents in the agent's latest reply to a query, as known
+	// to any balancer that pings it. countQueriedAt is when it was last queried for that.
+	agentCount     int
+	countQueriedAt time.Time
 	// avoidUntil is the end of the backoff after a refusal.
 	avoidUntil time.Time
 }
@@ -132,6 +139,9 @@
 func (b *Balancer) upsertMember(now time.Time, r AgentRecord) {
 	m := b.members.byPeer[r.Peer]
 	if m == nil || m.record.Node != r.Node {
+		if m != nil {
+			m.removed = true // another node has taken the address
+		}
 		m = &member{knownSince: now}
 		b.members.byPeer[r.Peer] = m
 		b.report(Report{Text: "Agent is listed.", Node: r.Node, Why: r.Service})
@@ -152,6 +162,7 @@
 	for _, m := range s.all {
 		if !m.listed && now.Sub(m.lastContact()) > removeAfter {
 			delete(s.byPeer, m.record.Peer)
+			m.removed = true
 			defer s.rebuildIndex()
 			b.removeMemberFromSearches(m)
 			b.report(Report{Text: "Agent is removed.", Node: m.record.Node, Age: now.Sub(m.lastContact())})
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -210,6 +210,10 @@
 	// EffectVerify checks that the agent's record is in the store and writes it again
 	// if it is missing.
 	EffectVerify
+	// EffectUnregister deletes the agent's record, as its target has ended.
+	EffectUnregister
+	// EffectProbe tries to connect to the target's address. TargetProbed is the result.
+	EffectProbe
 	// EffectSave saves the agent's flows.
 	EffectSave
 	// EffectReport writes a log line.
--- a/internal/core/steering/persistence.go
+++ b/internal/core/steering/persistence.go
@@ -26,7 +26,7 @@
 // maintainPersistence checks the record and saves the flows when due, once the record
 // was first written.
 func (a *Agent) maintainPersistence(now time.Time) {
-	if a.target.writtenIncarnation == 0 {
+	if a.target.writtenIncarnation == 0 || a.target.deregistered {
 		return
 	}
 	if len(a.balancers.byPeer) == 0 {
@@ -41,7 +41,7 @@
 // verifyRecord requests a check of the record, unless one was requested within the
 // interval.
 func (a *Agent) verifyRecord(now time.Time, interval time.Duration) {
-	if a.target.writtenIncarnation == 0 || now.Sub(a.persistence.lastVerify) < interval {
+	if a.target.writtenIncarnation == 0 || a.target.deregistered || now.Sub(a.persistence.lastVerify) < interval {
 		return
 	}
 	a.persistence.lastVerify = now
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -83,7 +83,7 @@
 
 // IsUpToDate reports whether the saved flows need not be replaced by the current ones.
 func (s *SavedFlows) IsUpToDate(current *SavedFlows) bool {
-	if s.Incarnation != current.Incarnation || s.Final != current.Final || s.Agents < current.Agents || len(s.Flows) != len(current.Flows) {
+	if s.Incarnation != current.Incarnation || s.Final != current.Final || s.Agents != current.Agents || len(s.Flows) != len(current.Flows) {
 		return false
 	}
 	for i := range s.Flows {
@@ -98,8 +98,12 @@
 // is known they count as open: the target returns segments of flows that it does not
 // hold.
 func (a *Agent) restoreSavedFlows(now time.Time, s *SavedFlows) {
-	a.target.savedFlows = s
 	a.balancers.agentCount = max(a.balancers.agentCount, s.Agents)
+	if a.target.absent {
+		a.resetFlows(a.flows.removeSaved(s.Flows))
+		return
+	}
+	a.target.savedFlows = s
 	if !a.target.known {
 		a.flows.addSaved(now, s.Flows)
 		a.target.complete = s.Final
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -15,6 +15,10 @@
 	searchLifetime = 2 * time.Second
 	// queryRetryInterval is the time after which an unanswered query is resent.
 	queryRetryInterval = 200 * time.Millisecond
+	// countQueryInterval is the time after which an agent that knew of more agents is
+	// queried again, in all searches together: the count is corrected once the balancers'
+	// lists have settled.
+	countQueryInterval = 2 * time.Second
 	// maxBuffered bounds the segments buffered during a search; callers retransmit
 	// others.
 	maxBuffered = 2
@@ -41,11 +45,8 @@
 	ack       uint32
 	// memberRevision is the newest revision of the list of agents in the replies.
 	memberRevision uint64
-	// maxAgents is the largest number of agents in the replies, as known to any
-	// balancer that pings them.
-	maxAgents int
-	queries   []query
-	buffered  []Segment
+	queries        []query
+	buffered       []Segment
 }
 
 // buffer keeps a copy of a segment until the search ends. The newest are kept.
@@ -77,6 +78,29 @@
 	return len(s.queries) > 0
 }
 
+// maxAgents returns the largest number of agents that the queried agents know of, by
+// their latest replies in any search.
+func (s *search) maxAgents() int {
+	most := 0
+	for i := range s.queries {
+		most = max(most, s.queries[i].member.agentCount)
+	}
+	return most
+}
+
+// refreshAgentCounts queries the agents again that know of more agents than the balancer,
+// each at most once in countQueryInterval.
+func (b *Balancer) refreshAgentCounts(now time.Time, s *search, f Flow) {
+	known := b.members.countListedOrLive(now)
+	for i := range s.queries {
+		q := &s.queries[i]
+		if m := q.member; m.agentCount > known && m.isLive(now) && now.Sub(m.countQueriedAt) >= countQueryInterval {
+			m.countQueriedAt = now
+			b.sendQuery(now, q, f, s.ack)
+		}
+	}
+}
+
 // countTrials returns how many targets have returned a segment of the flow after a
 // trial delivery, by whichever balancer.
 func (s *search) countTrials() int {
@@ -147,6 +171,7 @@
 
 // handleReply records an agent's verdict on a searched flow.
 func (b *Balancer) handleReply(now time.Time, m *member, msg *Message) {
+	m.agentCount = int(msg.Agents)
 	e := b.entries[msg.Flow]
 	if e == nil || e.stage != stageSearching {
 		return
@@ -161,15 +186,14 @@
 	}
 	q.repliedAt, q.verdict = now, msg.Verdict
 	e.search.memberRevision = max(e.search.memberRevision, msg.MemberRevision)
-	e.search.maxAgents = max(e.search.maxAgents, int(msg.Agents))
-	b.declareLostIfRuledOut(now, e)
+	b.declareLostIfRuledOut(now, e, msg.Flow)
 }
 
 // declareLostIfRuledOut resets a flow that all agents have ruled out. Another
 // balancer may have opened it at an agent that is unknown here; but then it has
 // sent the revision of its newer list to the agents before. If another balancer
 // knows more agents, the store has lost records that are being written again.
-func (b *Balancer) declareLostIfRuledOut(now time.Time, e *flowEntry) {
+func (b *Balancer) declareLostIfRuledOut(now time.Time, e *flowEntry, f Flow) {
 	if !e.search.allRuledOut() {
 		return
 	}
@@ -177,8 +201,11 @@
 		b.requestRefresh(now)
 		return
 	}
-	if e.search.maxAgents > b.members.countListedOrLive(now) {
-		return // rereading the list does not help: wait until more agents are listed
+	if e.search.maxAgents() > b.members.countListedOrLive(now) {
+		// Rereading the list does not help: wait until more agents are listed, or later
+		// replies correct the count.
+		b.refreshAgentCounts(now, e.search, f)
+		return
 	}
 	s := e.search.buffered[len(e.search.buffered)-1]
 	e.search = nil
@@ -207,7 +234,7 @@
 // abandons the search if the caller is silent, or else resends unanswered queries.
 func (b *Balancer) advanceSearch(now time.Time, e *flowEntry, f Flow) {
 	s := e.search
-	b.declareLostIfRuledOut(now, e)
+	b.declareLostIfRuledOut(now, e, f)
 	if e.stage != stageSearching || now.Sub(s.startedAt) < searchTimeout {
 		return
 	}
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -232,6 +232,120 @@
 	}
 }
 
+// Three targets were leaving when the power failed: they do not return, their agents do.
+// Searches for flows that nobody could save must end, or callers wait for their deadlines
+// (otia-masts-large trouble-1, 36 s to 42 s: 372 of 5,287 requests; songline-bkk-grown
+// trouble-1).
+func TestLostFlowsAreResetWhileTargetsDoNotReturn(t *testing.T) {
+	w, callers := newSteadyWorld(t, 12, 3, 7, 60)
+	w.run(2 * time.Second)
+	w.saved = make(map[string]steering.SavedFlows)
+	losePower(w)
+	w.run(1500 * time.Millisecond)
+	restorePowerOf(w, w.agents[3:])
+	for _, a := range w.agents[:3] {
+		w.startAgent(a)
+	}
+	w.run(absenceLimit)
+	w.sendRequests(callers, 2*time.Second)
+	for _, c := range callers {
+		if !c.reset {
+			t.Errorf("flow %s was not reset %v after its target was lost", c.flow, absenceLimit+2*time.Second)
+		}
+	}
+}
+
+// Two hosts are lost with a loss of power, and their records with them: for the first
+// seconds the others remember more agents than the balancers find. A search that began
+// then must end once the balancers' lists have settled, also if its caller keeps
+// retransmitting (songline-bkk-grown trouble-1: searches held up until their callers'
+// deadlines by a count of 86 from a release half a minute before).
+func TestSearchEndsOnceTheCountOfAgentsIsCorrected(t *testing.T) {
+	w, callers := newSteadyWorld(t, 17, 3, 7, 60)
+	w.run(2 * time.Second)
+	for _, a := range w.agents {
+		s := a.core.SnapshotFlows()
+		s.Flows = nil
+		w.saved[a.name] = s
+	}
+	losePower(w)
+	for _, a := range w.agents[:2] {
+		delete(w.records, a.name)
+	}
+	w.run(1500 * time.Millisecond)
+	restorePowerOf(w, w.agents[2:])
+	w.run(time.Second)
+	w.sendRequests(callers, 7*time.Second)
+	for _, c := range callers {
+		if !c.reset {
+			t.Errorf("flow %s was not reset 8 s after its target was lost", c.flow)
+		}
+	}
+}
+
+// absenceLimit is the time within which an agent without a target must know that none
+// runs: three heartbeat intervals, a tick and the probe.
+const absenceLimit = 3*heartbeatInterval + 600*time.Millisecond
+
+// A target stays silent for seconds after its agent's restart, but listens: its flows
+// must not be ruled out.
+func TestFlowsOfASilentTargetAreNotReset(t *testing.T) {
+	a := newHeartbeatAgent()
+	probes := 0
+	for range 100 {
+		a.now = a.now.Add(100 * time.Millisecond)
+		for _, e := range a.Step(a.now, &steering.Tick{}) {
+			if e.Kind == steering.EffectProbe {
+				probes++
+				a.Step(a.now, &steering.TargetProbed{})
+			}
+		}
+	}
+	if probes < 2 {
+		t.Errorf("%d probes in 10 s, want the probe to be repeated", probes)
+	}
+	if got := a.verdictOn(1); got != steering.VerdictUnsure {
+		t.Errorf("verdict %s on a flow of a target that accepts connections, want unsure", got)
+	}
+}
+
+// A flow on which the target has sent a segment shows that it lives, whatever the probe
+// says.
+func TestRespondingTargetIsNotAbsent(t *testing.T) {
+	a := newHeartbeatAgent()
+	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 2}, Address: routeAddress}
+	a.Step(a.now, &steering.SegmentReceived{Segment: steering.Segment{Flow: flow, Flags: steering.FlagAck, Len: 10}})
+	a.advance(4 * heartbeatInterval)
+	a.Step(a.now, &steering.TargetProbed{Refused: true})
+	if got := a.verdictOn(2); got != steering.VerdictHeld {
+		t.Errorf("verdict %s on a flow of a responding target, want held", got)
+	}
+	if got := a.verdictOn(1); got != steering.VerdictUnsure {
+		t.Errorf("verdict %s on another flow, want unsure", got)
+	}
+}
+
+// A target deregisters, and its host loses power before the agent is stopped. Its record
+// must be gone by then, and stay away although balancers report that it is missing.
+func TestRecordIsDeletedWhenItsTargetDeregisters(t *testing.T) {
+	w, callers := newSteadyWorld(t, 13, 3, 4, 20)
+	w.run(time.Second)
+	leaving := w.agents[0]
+	w.stepAgent(leaving, &steering.TargetDeregistered{Instance: leaving.instance()})
+	w.run(4 * time.Second)
+	if _, ok := w.records[leaving.name]; ok {
+		t.Error("the record of the agent whose target has left is still in the store")
+	}
+	leaving.up, leaving.target.up = false, false
+	w.run(6 * time.Second)
+	w.sendRequests(callers, 2*time.Second)
+	for _, c := range callers {
+		if c.holder == leaving.target && !c.reset {
+			t.Errorf("flow %s of the target that left was not reset", c.flow)
+		}
+	}
+}
+
 func losePower(w *world) {
 	for _, b := range w.balancers {
 		b.up = false
@@ -568,3 +682,21 @@
 	}
 	a.up = false
 }
+
+// A search asks an agent that has just started and is unsure. It must hear from it as
+// soon as the agent knows, not when the caller sends another copy.
+func TestUnsureAgentRepliesOnceItKnows(t *testing.T) {
+	a := newHeartbeatAgent()
+	if got := a.verdictOn(1); got != steering.VerdictUnsure {
+		t.Fatalf("verdict %s, want unsure", got)
+	}
+	replies := 0
+	for _, e := range a.Step(a.now, &steering.TargetProbed{Refused: true}) {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessageReply && e.Message.Verdict == steering.VerdictAbsent {
+			replies++
+		}
+	}
+	if replies != 1 {
+		t.Errorf("%d replies when the agent learned that no target runs, want 1", replies)
+	}
+}
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -90,7 +90,11 @@
 	// complete reports that the agent has seen every segment of the target's
 	// incarnation.
 	complete bool
-	rollback clockRollback
+	// absent reports that no target runs: see handleProbed. lastProbe is when the
+	// target's address was last probed.
+	absent    bool
+	lastProbe time.Time
+	rollback  clockRollback
 }
 
 // isUsable reports whether flows can be opened at the target.
@@ -199,18 +203,24 @@
 	return a.target.known && !a.target.deregistered && now.Sub(a.target.lastHeartbeat) <= heartbeatTimeoutIntervals*a.target.heartbeatInterval
 }
 
+// HasTarget reports whether a target has sent a heartbeat since the agent's start.
+func (a *Agent) HasTarget() bool { return a.target.known }
+
 // TargetEnded reports whether a known target has deregistered or sends no heartbeats
-// any more.
+// any more, or no target runs.
 func (a *Agent) TargetEnded(now time.Time) bool {
-	return a.target.known && !a.HasLiveTarget(now)
+	return a.target.absent || a.target.known && !a.HasLiveTarget(now)
 }
 
-// handleDeregistered records that the target is about to stop.
+// handleDeregistered records that the target is about to stop, and deletes the agent's
+// record. If the host then fails or is removed before its agent has stopped in a planned
+// way, a listed agent that never replies would keep every search from ending.
 func (a *Agent) handleDeregistered(d *TargetDeregistered) {
 	if !a.target.known || d.Instance != a.target.instance {
 		return
 	}
 	a.target.deregistered = true
+	a.emit(Effect{Kind: EffectUnregister})
 	a.report(Report{Text: "Target is gone.", Node: d.Instance})
 }
 
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -39,10 +39,12 @@
 	queue      eventQueue
 	eventCount int
 
-	balancers  []*balancerNode
-	agents     []*agentNode
-	callers    map[steering.Flow]*caller
-	records    map[string]steering.AgentRecord
+	balancers []*balancerNode
+	agents    []*agentNode
+	callers   map[steering.Flow]*caller
+	records   map[string]steering.AgentRecord
+	// served holds the records as last written, which outlive them.
+	served     map[string]steering.AgentRecord
 	saved      map[string]steering.SavedFlows
 	revision   uint64
 	domainsOut map[string]bool
@@ -147,7 +149,7 @@
 func newWorld(t rapid.TB, seed uint64) *world {
 	return &world{
 		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
-		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord),
+		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord), served: make(map[string]steering.AgentRecord),
 		saved: make(map[string]steering.SavedFlows), domainsOut: make(map[string]bool), revision: 1,
 	}
 }
@@ -237,6 +239,9 @@
 	return a
 }
 
+// instance names the process of the agent's target.
+func (a *agentNode) instance() string { return fmt.Sprint(a.name, a.target.incarnation) }
+
 // startAgent starts a process with no state but what the store holds.
 func (w *world) startAgent(a *agentNode) {
 	a.core = steering.NewAgent(steering.AgentIdentity{
@@ -246,7 +251,7 @@
 	a.up = true
 	a.incarnation++
 	w.tickAgent(a, a.incarnation)
-	r, found := w.records[a.name]
+	r, found := w.served[a.name]
 	if s, ok := w.saved[a.name]; ok {
 		used := s
 		used.Final = false
@@ -279,7 +284,7 @@
 	t.sequence++
 	if a.up {
 		w.stepAgent(a, &steering.Heartbeat{
-			Instance: fmt.Sprint(a.name, t.incarnation), Service: serviceName, Incarnation: t.incarnation,
+			Instance: a.instance(), Service: serviceName, Incarnation: t.incarnation,
 			Sequence: t.sequence, Draining: t.draining, Slots: targetSlots,
 		})
 	}
@@ -328,15 +333,31 @@
 					w.register(a, a.core.Record())
 				}
 			})
+		case steering.EffectUnregister:
+			w.schedule(hopDelay, func() { w.unregister(a) })
+		case steering.EffectProbe:
+			w.schedule(hopDelay, func() {
+				if a.up {
+					w.stepAgent(a, &steering.TargetProbed{Refused: !a.target.up})
+				}
+			})
 		case steering.EffectSave:
 			a.saves++
 		}
 	}
 }
 
+// unregister deletes an agent's record from the store.
+func (w *world) unregister(a *agentNode) {
+	if !w.storeDown {
+		delete(w.records, a.name)
+		w.notifyStoreChange()
+	}
+}
+
 // register writes an agent's record to the store.
 func (w *world) register(a *agentNode, r steering.AgentRecord) {
-	w.records[a.name] = r
+	w.records[a.name], w.served[a.name] = r, r
 	w.notifyStoreChange()
 	if a.up {
 		w.stepAgent(a, &steering.RecordStored{Incarnation: r.Incarnation})
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -52,7 +54,7 @@
 	a.core, a.performRoleEffect = a.steering, a.performAgentEffect
 	a.registrar = &registrar{
 		store: p.Store, key: p.AgentPrefix + string(s.Node), servedKey: p.ServedIncarnationPrefix + string(s.Node), leaseTTL: s.Store.Lease,
-		desired: make(chan steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
+		desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: a.handleEvent, warn: a.warn, info: a.info,
 	}
 	a.registrar.saver = &saver{
@@ -133,7 +135,12 @@
 	case steering.EffectRespond:
 		a.sendDatagram(a.targetConn, e.Segment.Raw, a.callerAddress(e.Segment.Flow))
 	case steering.EffectRegister:
-		a.registrar.setDesired(e.Record)
+		record := e.Record
+		a.registrar.setDesired(&record)
+	case steering.EffectUnregister:
+		a.registrar.setDesired(nil)
+	case steering.EffectProbe:
+		a.wg.Go(a.probeTarget)
 	case steering.EffectVerify:
 		a.registrar.verify.raise()
 	case steering.EffectSave:
@@ -141,6 +148,24 @@
 	}
 }
 
+// probeTimeout bounds an attempt to connect to the target, which is on the same host.
+const probeTimeout = 500 * time.Millisecond
+
+// probeTarget reports to the core whether the target's address refuses connections.
+func (a *Agent) probeTarget() {
+	a.handleEvent(&steering.TargetProbed{Refused: a.targetRefusesConnections(a.ctx)})
+}
+
+// targetRefusesConnections reports whether no process listens at the target's address.
+func (a *Agent) targetRefusesConnections(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", a.settings.Target.String())
+	if err == nil {
+		_ = conn.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (a *Agent) ready() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -148,11 +173,16 @@
 }
 
 // Stop stops the agent. Unless the target has ended, the record stays and the
-// flows are saved for the process that takes the agent's place.
+// flows are saved for the process that takes the agent's place. A process that is
+// stopped before the first heartbeat does not know the target: after a loss of power,
+// hosts whose targets do not return are removed within a second.
 func (a *Agent) Stop(ctx context.Context) {
 	a.mu.Lock()
-	ended := a.steering.TargetEnded(time.Now())
+	ended, known := a.steering.TargetEnded(time.Now()), a.steering.HasTarget()
 	a.mu.Unlock()
+	if !known && !ended {
+		ended = a.targetRefusesConnections(ctx)
+	}
 	a.handleEvent(&steering.Stop{})
 	a.stopRegistrar()
 	if ended {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -130,7 +130,7 @@
 
 func newRegistrar(s *fakeStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	r := &registrar{
-		store: s, key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
+		store: s, key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: func(e steering.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -158,7 +158,7 @@
 	r.readPrevious(ctx)
 	record := exampleRecord
 	r.record = &record
-	r.writeRecord(ctx)
+	r.storeDesired(ctx)
 	want := []steering.Event{&steering.PreviousRecord{}, &steering.RecordStored{Incarnation: 7}}
 	if !reflect.DeepEqual(events, want) {
 		t.Fatalf("events are %+v", events)
@@ -184,7 +184,7 @@
 	ctx := context.Background()
 	record := exampleRecord
 	r.record = &record
-	r.writeRecord(ctx)
+	r.storeDesired(ctx)
 	s.remove("op-agents/a")
 	next := newRegistrar(s, &events, &mu)
 	next.readPrevious(ctx)
@@ -194,6 +194,32 @@
 	}
 }
 
+// The target deregisters while the store is down. The record must be deleted once the
+// store is back, and written again for the next target.
+func TestRecordOfADeregisteredTargetIsDeletedAfterAnOutage(t *testing.T) {
+	s := newFakeStore()
+	var mu sync.Mutex
+	var events []steering.Event
+	r := newRegistrar(s, &events, &mu)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	record := exampleRecord
+	r.record = &record
+	r.storeDesired(ctx)
+	go r.run(ctx)
+	stored := func() bool {
+		_, found, err := s.Get(ctx, "op-agents/a")
+		return err == nil && found
+	}
+	s.setFaults(true, false)
+	r.setDesired(nil)
+	time.Sleep(20 * time.Millisecond)
+	s.setFaults(false, false)
+	eventually(t, "the record is deleted", func() bool { return !stored() })
+	r.setDesired(&record)
+	eventually(t, "the record is written again", stored)
+}
+
 // A served entry that another writer has corrupted proves nothing: this
 // incarnation of the target may have served the flows.
 func TestMalformedServedEntryRulesNothingOut(t *testing.T) {
@@ -227,7 +253,7 @@
 	ctx := context.Background()
 	record := exampleRecord
 	r.record = &record
-	r.writeRecord(ctx)
+	r.storeDesired(ctx)
 	r.saveFlows(ctx)
 	s.setFaults(true, false)
 	r.renewLease(ctx)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -193,8 +193,8 @@
 		n.logReport(now, &e.Report)
 	case steering.EffectObserve:
 		n.latencies[e.Latency].RecordDuration(e.Elapsed)
-	case steering.EffectDeliver, steering.EffectRespond, steering.EffectRegister, steering.EffectVerify, steering.EffectSave,
-		steering.EffectRefresh:
+	case steering.EffectDeliver, steering.EffectRespond, steering.EffectRegister, steering.EffectVerify, steering.EffectUnregister,
+		steering.EffectProbe, steering.EffectSave, steering.EffectRefresh:
 		n.performRoleEffect(e)
 	}
 }
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -25,22 +25,26 @@
 	// served an incarnation of the target.
 	servedKey string
 	leaseTTL  time.Duration
-	// desired holds the latest record that is to be written.
-	desired chan steering.AgentRecord
+	// desired holds the latest record that is to be written, nil if the stored one is to
+	// be deleted.
+	desired chan *steering.AgentRecord
 	// verify requests a check of the stored record, save a save of the flows.
 	verify, save signal
 	notify       func(steering.Event)
 	warn         func(string, error)
 	info         func(string, ...any)
 
-	lease     store.LeaseID
-	record    *steering.AgentRecord
+	lease  store.LeaseID
+	record *steering.AgentRecord
+	// deleted reports that the stored record was deleted as desired.
+	deleted   bool
 	storeDown bool
 	saver     *saver
 }
 
-// setDesired sets the record to write. It replaces one that is still pending.
-func (r *registrar) setDesired(record steering.AgentRecord) {
+// setDesired sets the record to write, nil to delete it. It replaces one that is still
+// pending.
+func (r *registrar) setDesired(record *steering.AgentRecord) {
 	select {
 	case <-r.desired:
 	default: // none was pending
@@ -59,8 +63,8 @@
 		case <-ctx.Done():
 			return
 		case record := <-r.desired:
-			r.record = &record
-			r.writeRecord(ctx)
+			r.record = record
+			r.storeDesired(ctx)
 		case <-r.verify:
 			r.verifyRecord(ctx)
 		case <-r.save:
@@ -98,15 +102,14 @@
 	}
 }
 
-// writeRecord writes the record. It retries until it succeeds or another record
-// is desired.
-func (r *registrar) writeRecord(ctx context.Context) {
+// storeDesired writes the record, or deletes the stored one if none is desired. It
+// retries until it succeeds or the desired record changes.
+func (r *registrar) storeDesired(ctx context.Context) {
 	retry := newBackoff()
 	for ctx.Err() == nil && len(r.desired) == 0 {
-		err := r.putRecord(ctx)
+		err := r.storeOnce(ctx)
 		if err == nil {
 			r.markStoreUp()
-			r.notify(&steering.RecordStored{Incarnation: r.record.Incarnation})
 			return
 		}
 		r.markStoreDown(err)
@@ -114,6 +117,22 @@
 	}
 }
 
+// storeOnce tries once to write or delete the record. A delete that takes effect late
+// may remove a newer record, which is found missing and written again.
+func (r *registrar) storeOnce(ctx context.Context) error {
+	if r.record == nil {
+		err := r.store.Delete(ctx, r.key)
+		r.deleted = err == nil
+		return err
+	}
+	r.deleted = false
+	if err := r.putRecord(ctx); err != nil {
+		return err
+	}
+	r.notify(&steering.RecordStored{Incarnation: r.record.Incarnation})
+	return nil
+}
+
 // putRecord tries once to write the record under the lease.
 func (r *registrar) putRecord(ctx context.Context) error {
 	value, err := encodeRecord(r.record)
@@ -155,7 +174,7 @@
 	case !found || kv.Lease != r.lease:
 		r.info("The record is missing. Rewriting it.", "key", r.key)
 		r.lease = 0
-		r.writeRecord(ctx)
+		r.storeDesired(ctx)
 	default:
 		r.markStoreUp()
 	}
@@ -193,11 +212,15 @@
 	return r.leaseTTL / renewalsPerLease
 }
 
-// replaceLease rewrites the record, which lapsed with its lease, under a new one.
+// replaceLease rewrites the record, if there is one, which lapsed with its lease, under a
+// new one.
 func (r *registrar) replaceLease(ctx context.Context) {
-	r.info("The lease has lapsed. Rewriting the record.", "key", r.key)
 	r.lease = 0
-	r.writeRecord(ctx)
+	if r.record == nil {
+		return
+	}
+	r.info("The lease has lapsed. Rewriting the record.", "key", r.key)
+	r.storeDesired(ctx)
 }
 
 // handOverFlows saves the flows for the process that takes the agent's place.
@@ -211,8 +234,11 @@
 	}
 }
 
-// deleteRecord deletes the record of an ended target.
+// deleteRecord deletes the record of an ended target, unless that was done before.
 func (r *registrar) deleteRecord(ctx context.Context) {
+	if r.deleted {
+		return
+	}
 	if err := r.store.Delete(ctx, r.key); err != nil {
 		r.warn("The record could not be deleted. It lapses with its lease.", err)
 	}
