Admission: a stall of the host is no sign of a cold target; requests wait that can be served

Three slow responses lowered the limit to one, and the requests of the stall arrived at once before a queue of four.

Change: the agent measures stalls by the delay of its own ticks and leaves them out of latencies and waiting times. A request beyond the queue is handed over as before; if no other agent takes it, it waits if the target's usual latency lets it start within 500 ms and before its deadline, and is refused at once otherwise.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -17,11 +17,8 @@
 // addTokens adds the share of one completed request.
 func (b *retryBudget) addTokens() { b.tokens = min(b.tokens+budgetRatio, budgetBurst) }
 
-// takeToken takes the token for one retry and reports whether there was one.
-func (b *retryBudget) takeToken() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
+// hasToken reports whether there is a token for one retry.
+func (b *retryBudget) hasToken() bool { return b.tokens >= 1 }
+
+// takeToken takes the token for one retry, which must exist.
+func (b *retryBudget) takeToken() { b.tokens-- }
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -13,7 +13,8 @@
 	// maxQueueWait bounds the wait for a slot.
 	maxQueueWait = 500 * time.Millisecond
 	// minQueueLength is the number of requests that may wait at any limit. At
-	// higher limits as many may wait as may run.
+	// higher limits as many may wait as may run. Further ones are handed over; those
+	// that no other agent takes wait if they are expected to be served in time.
 	minQueueLength = 4
 	// maxPendingClaims bounds the requests that wait for the owner of their key.
 	maxPendingClaims = 256
@@ -36,6 +37,7 @@
 	targetRetryAt time.Time // no request is sent to an unreachable target before
 	targetBackoff time.Duration
 	domainOut     bool // the failure domain was out in the last step
+	stalls        stallMeter
 }
 
 // New returns a controller without a target.
@@ -108,7 +110,10 @@
 	if _, known := c.requests[ev.ID]; known {
 		return
 	}
-	r := &request{arrival: ev, phase: phaseWaiting, arrivedAt: t.Now, deadline: c.deadline(t, ev)}
+	r := &request{
+		arrival: ev, phase: phaseWaiting, arrivedAt: t.Now, deadline: c.deadline(t, ev),
+		stalledAtArrival: c.stalls.stalled(t.Now),
+	}
 	r.visited = append(r.visited, ev.Visited...)
 	r.visited = append(r.visited, t.Board.Self.Member.Node)
 	c.requests[ev.ID] = r
@@ -160,10 +165,10 @@
 		c.targetBackoff = 0
 		c.observeResponse(t, r, ev)
 	case core.OutcomeAborted:
-		c.limiter.observeAborted(t.Now, t.Now.Sub(r.grantedAt))
+		c.limiter.observeAborted(t.Now, c.runningTime(t, r))
 	case core.OutcomeNotSent, core.OutcomeUnknown:
 		if !t.Now.Before(r.deadline) {
-			c.limiter.observeAborted(t.Now, t.Now.Sub(r.grantedAt))
+			c.limiter.observeAborted(t.Now, c.runningTime(t, r))
 			return
 		}
 		c.limiter.backOff(t.Now)
@@ -191,10 +196,20 @@
 		c.limiter.backOff(t.Now)
 	case ev.Status < statusServerError:
 		c.budget.addTokens()
-		c.limiter.observeResponse(t.Now, ev.Latency, r.atLimit)
+		c.limiter.observeResponse(t.Now, max(0, ev.Latency-c.stalledSince(t, r.stalledAtGrant)), r.atLimit)
 	}
 }
 
+// stalledSince returns how long the host was stalled since the total was as given.
+func (c *Controller) stalledSince(t *core.Turn, total time.Duration) time.Duration {
+	return c.stalls.stalled(t.Now) - total
+}
+
+// runningTime returns how long a request has run, without the host's stalls.
+func (c *Controller) runningTime(t *core.Turn, r *request) time.Duration {
+	return t.Now.Sub(r.grantedAt) - c.stalledSince(t, r.stalledAtGrant)
+}
+
 // handleConnectionClosed frees the slot of a request that the target no longer
 // runs.
 func (c *Controller) handleConnectionClosed(id core.RequestID) {
@@ -249,9 +264,10 @@
 
 // tick checks for slow running requests and expires outdated observations.
 func (c *Controller) tick(t *core.Turn) {
+	c.stalls.recordTick(t.Now)
 	slow := 0
 	for _, r := range c.requests {
-		if r.phase == phaseRunning && c.limiter.isSlow(t.Now.Sub(r.grantedAt)) {
+		if r.phase == phaseRunning && c.limiter.isSlow(c.runningTime(t, r)) {
 			slow++
 		}
 	}
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -100,7 +100,13 @@
 	if c.canQueue(t, r, queued) {
 		return true
 	}
-	c.handOverOrRefuse(t, r, core.RefuseOverload)
+	if c.tryHandOver(t, r, core.RefuseOverload) {
+		return false
+	}
+	if c.canBeServedInTime(t, r, queued) {
+		return true
+	}
+	c.refuseRequest(t, r, core.RefuseOverload, true)
 	return false
 }
 
@@ -122,15 +128,33 @@
 	return 0
 }
 
-// canQueue reports whether a request may wait for a slot. A request that was
-// handed over is refused at once, because another agent may have a free slot.
+// canQueue reports whether a request may wait for a slot rather than be handed over. A
+// request that was handed over is refused at once, because another agent may have a free
+// slot.
 func (c *Controller) canQueue(t *core.Turn, r *request, queued int) bool {
-	if r.arrival.HandedOver || t.Now.Sub(r.arrivedAt) >= maxQueueWait {
+	if r.arrival.HandedOver || c.waitingTime(t, r) >= maxQueueWait {
 		return false
 	}
 	return queued < max(c.limiter.limit, minQueueLength)
 }
 
+// canBeServedInTime reports whether a request that no other agent takes is expected to
+// start within maxQueueWait and before its deadline, by the target's usual latency. After
+// a stall of the host, the requests of its duration arrive at once; a fast target serves
+// them in milliseconds, and a refusal would only bring them back.
+func (c *Controller) canBeServedInTime(t *core.Turn, r *request, queued int) bool {
+	wait := c.limiter.expectedWait(queued)
+	if r.arrival.HandedOver || wait == 0 {
+		return false
+	}
+	return c.waitingTime(t, r)+wait < maxQueueWait && t.Now.Add(wait).Before(r.deadline)
+}
+
+// waitingTime returns how long a request has waited, without the host's stalls.
+func (c *Controller) waitingTime(t *core.Turn, r *request) time.Duration {
+	return t.Now.Sub(r.arrivedAt) - c.stalledSince(t, r.stalledAtArrival)
+}
+
 func (c *Controller) grantRequest(t *core.Turn, r *request) {
 	c.queue.remove(r)
 	c.inFlight++
@@ -139,6 +163,7 @@
 	r.holdsSlot = true
 	r.atLimit = c.inFlight >= c.limiter.limit
 	r.grantedAt = t.Now
+	r.stalledAtGrant = c.stalls.stalled(t.Now)
 	r.attempts++
 	t.Board.Requests.Admitted++
 	c.recordKeyedChange(t, r, core.KeyedRequestChange{State: core.KeyedStarted})
@@ -188,16 +213,29 @@
 		c.refuseRequest(t, r, core.RefuseDeadlineExceeded, true)
 		return
 	}
-	if !c.canHandOver(t, r, reason) {
+	if !c.tryHandOver(t, r, reason) {
 		c.refuseRequest(t, r, reason, true)
-		return
+	}
+}
+
+// tryHandOver hands a request over, if it may be, to an agent that may take it.
+func (c *Controller) tryHandOver(t *core.Turn, r *request, reason core.RefuseReason) bool {
+	if !c.canHandOver(t, r, reason) {
+		return false
+	}
+	free := isFreeHandOver(r, reason)
+	if !free && !c.budget.hasToken() {
+		return false
 	}
 	peer, ok := c.peers.choose(t, r.arrival.Flow.Service, r.visited)
-	if !ok || !c.payForHandOver(r, reason) {
-		c.refuseRequest(t, r, reason, true)
-		return
+	if !ok {
+		return false
+	}
+	if !free {
+		c.budget.takeToken()
 	}
 	c.handOver(t, r, peer)
+	return true
 }
 
 // canHandOver reports whether the request may be handed over at all.
@@ -208,13 +246,10 @@
 	return r.handOvers < maxHandOvers && r.deadline.Sub(t.Now) >= minHandOverTime
 }
 
-// payForHandOver takes a hand-over from the retry budget. A first hand-over that
-// replaces the attempt here is free: it adds no load.
-func (c *Controller) payForHandOver(r *request, reason core.RefuseReason) bool {
-	if r.attempts == 0 && reason != core.RefuseOverload {
-		return true
-	}
-	return c.budget.takeToken()
+// isFreeHandOver reports whether a hand-over takes nothing from the retry budget: a first
+// one that replaces the attempt here adds no load.
+func isFreeHandOver(r *request, reason core.RefuseReason) bool {
+	return r.attempts == 0 && reason != core.RefuseOverload
 }
 
 func (c *Controller) handOver(t *core.Turn, r *request, peer core.Candidate) {
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -142,6 +142,12 @@
 	}
 }
 
+// expectedWait returns how long a request behind others is expected to wait for a slot, 0
+// if no latency is known.
+func (l *limiter) expectedWait(ahead int) time.Duration {
+	return l.baseline * time.Duration(ahead+1) / time.Duration(max(l.limit, 1))
+}
+
 // isSlow reports whether a latency is far above the baseline.
 func (l *limiter) isSlow(latency time.Duration) bool {
 	return l.baseline > 0 && latency > latencyBound(l.baseline, slowLatencyFactor)
--- a/internal/core/admission/request.go
+++ b/internal/core/admission/request.go
@@ -28,6 +28,8 @@
 	deadline  time.Time
 	arrivedAt time.Time
 	grantedAt time.Time // zero before the grant
+	// stalledAtArrival and stalledAtGrant are the host's total stalls at these times.
+	stalledAtArrival, stalledAtGrant time.Duration
 	// holdsSlot reports that the request counts as in flight.
 	holdsSlot bool
 	// atLimit reports that the request took the last slot of the limit.
--- /dev/null
+++ b/internal/core/admission/stall.go
@@ -0,0 +1,36 @@
+package admission
+
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core"
+)
+
+// minStall is the delay of a tick from which the host counts as stalled.
+const minStall = latencyNoise
+
+// stallMeter measures how long the agent's process did not run although it was due, by
+// the delay of its ticks. A target beside it did not run either: the time says nothing
+// about the target's capacity.
+type stallMeter struct {
+	lastTick time.Time
+	total    time.Duration
+}
+
+// recordTick records a tick.
+func (m *stallMeter) recordTick(now time.Time) {
+	m.total = m.stalled(now)
+	m.lastTick = now
+}
+
+// stalled returns the total time of stalls so far. It includes a stall whose tick has not
+// been handled yet.
+func (m *stallMeter) stalled(now time.Time) time.Duration {
+	if m.lastTick.IsZero() {
+		return m.total
+	}
+	if late := now.Sub(m.lastTick) - core.TickInterval; late >= minStall {
+		return m.total + late
+	}
+	return m.total
+}
