Refusals tell callers when to return; test that a response's second copy reaches nobody

Cause: a refused request that had not run named no time, so that callers came back at once or by guess.

Ruled out: a fixed time, which tells nothing of the queue.

--- a/internal/agent/front/front_test.go
+++ b/internal/agent/front/front_test.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"crypto/ed25519"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"io"
 	"math/big"
 	"net"
@@ -438,3 +440,38 @@
 		return len(flows) == 2
 	})
 }
+
+// A target sends each response twice, the second copy late. A connection serves one
+// request, so the copy must reach neither the request's caller nor a later one.
+func TestSecondCopyOfAResponseReachesNobody(t *testing.T) {
+	a := startAgent(t, "a", 2, func(http.ResponseWriter, *http.Request) {}, Options{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	requireNoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(conn, response)
+			}()
+		}
+	}()
+	a.front.SetTarget(Target{Addr: ln.Addr().(*net.TCPAddr).AddrPort(), Name: "t", MaxConnections: 100})
+	for n := range 4 {
+		resp, body := a.sendRequest("POST", "")
+		if want := fmt.Sprint(n); body != want || resp.StatusCode != http.StatusOK {
+			t.Errorf("request %d got %d %q, want its own response %q", n, resp.StatusCode, body, want)
+		}
+		time.Sleep(30 * time.Millisecond) // the next request begins while the copy arrives
+	}
+}
--- a/internal/agent/front/headers.go
+++ b/internal/agent/front/headers.go
@@ -21,6 +21,10 @@
 	HeaderOutcome = "Amaranthwheel-Outcome"
 	// HeaderReason reports why a request was refused.
 	HeaderReason = "Amaranthwheel-Reason"
+	// HeaderRetryAfter is the time after which a refused request may be retried, in whole
+	// seconds (RFC 9110), HeaderRetryAfterMS the same in milliseconds.
+	HeaderRetryAfter   = "Retry-After"
+	HeaderRetryAfterMS = "Amaranthwheel-Retry-After-Ms"
 	// HeaderTarget names the target that sent the response.
 	HeaderTarget = "Amaranthwheel-Target"
 
--- a/internal/agent/front/request.go
+++ b/internal/agent/front/request.go
@@ -49,13 +49,17 @@
 	mayHaveRun bool
 }
 
+// frontFullRetryAfter is when a request may be retried that exceeds the front's limit of
+// concurrent requests.
+const frontFullRetryAfter = time.Second
+
 // serveRequest reports the request to the node and performs its decisions.
 func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, ev core.RequestArrived) {
 	select {
 	case f.requestSlots <- struct{}{}:
 		defer func() { <-f.requestSlots }()
 	default:
-		writeRefusal(w, core.RefuseOverload, true)
+		writeRefusal(w, core.RefuseOverload, true, frontFullRetryAfter)
 		return
 	}
 	ev.Deadline = requestDeadline(r.Header, time.Now())
@@ -108,7 +112,7 @@
 	case core.ReplayResponse:
 		writeStoredResponse(p.w, decision.Response)
 	case core.RefuseRequest:
-		writeRefusal(p.w, decision.Reason, decision.NotRun && !p.mayHaveRun)
+		writeRefusal(p.w, decision.Reason, decision.NotRun && !p.mayHaveRun, decision.RetryAfter)
 	}
 	return true
 }
--- a/internal/agent/front/response.go
+++ b/internal/agent/front/response.go
@@ -5,7 +5,10 @@
 	"errors"
 	"io"
 	"maps"
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core"
 )
@@ -92,8 +95,12 @@
 }
 
 // writeRefusal writes the response to a refused request.
-func writeRefusal(w http.ResponseWriter, reason core.RefuseReason, notRun bool) {
+func writeRefusal(w http.ResponseWriter, reason core.RefuseReason, notRun bool, retryAfter time.Duration) {
 	status, outcome := refusalStatus(reason, notRun)
+	if notRun && retryAfter > 0 {
+		w.Header().Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+		w.Header().Set(HeaderRetryAfterMS, strconv.FormatInt(retryAfter.Milliseconds(), 10))
+	}
 	w.Header().Set(HeaderOutcome, outcome)
 	w.Header().Set(HeaderReason, reason.String())
 	w.WriteHeader(status)
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -272,6 +272,10 @@
 // refuseRequest answers the caller with a refusal and ends the request.
 func (c *Controller) refuseRequest(t *core.Turn, r *request, reason core.RefuseReason, notRun bool) {
 	state := core.KeyedOutcomeUnknown
+	var retryAfter time.Duration
+	if notRun {
+		retryAfter = c.retryAfter(t, reason)
+	}
 	if notRun || r.attempts == 0 {
 		state = core.KeyedNotRun
 	}
@@ -280,7 +284,7 @@
 	} else {
 		t.Board.Requests.OutcomeUnknown++
 	}
-	t.Emit(core.RefuseRequest{ID: r.arrival.ID, Reason: reason, NotRun: notRun})
+	t.Emit(core.RefuseRequest{ID: r.arrival.ID, Reason: reason, NotRun: notRun, RetryAfter: retryAfter})
 	c.endRequest(t, r, core.KeyedRequestChange{State: state})
 }
 
--- a/internal/core/admission/model_test.go
+++ b/internal/core/admission/model_test.go
@@ -74,6 +74,7 @@
 	shed     int
 	served   int
 	peak     int // most concurrent requests
+	refusals []core.RefuseRequest
 }
 
 type modelRequest struct {
@@ -136,6 +137,18 @@
 	}
 }
 
+// carryOutKeeping starts granted requests and records refusals.
+func (m *modelTarget) carryOutKeeping(h *harness) {
+	for _, e := range h.takeEffects() {
+		switch e := e.(type) {
+		case core.GrantRequest:
+			m.start(h, e.ID)
+		case core.RefuseRequest:
+			m.refusals = append(m.refusals, e)
+		}
+	}
+}
+
 func (m *modelTarget) carryOut(h *harness) {
 	for _, e := range h.takeEffects() {
 		if g, ok := e.(core.GrantRequest); ok {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -193,6 +193,9 @@
 	// NotRun states that no target ran the request. Otherwise the outcome is
 	// unknown.
 	NotRun bool
+	// RetryAfter is the time after which a retry is likely to be served, 0 if a retry is
+	// of no use or the request may have run.
+	RetryAfter time.Duration
 }
 
 // HandOver sends a request that did not run to another agent. The result is
