--- a/internal/core/steering/far_test.go
+++ b/internal/core/steering/far_test.go
@@ -91,6 +91,66 @@
 	}
 }
 
+// newManyRemoteWorld has a balancer and two agents in one domain, and 200 agents in
+// another: unused ones are pinged every 5 s.
+func newManyRemoteWorld(t *testing.T, seed uint64) (w *world, local, remote []*agentNode) {
+	t.Helper()
+	w = newWorld(t, seed)
+	for range 2 {
+		local = append(local, w.addAgent("a"))
+	}
+	for range 200 {
+		remote = append(remote, w.addAgent("b"))
+	}
+	w.run(2 * time.Second)
+	w.addBalancer("a")
+	w.run(6 * time.Second)
+	return w, local, remote
+}
+
+// Pings to other failure domains must not grow with the fleet (fleetbench sweep
+// otia-masts-large, 300 hosts).
+func TestRemotePingsOfABalancerAreBounded(t *testing.T) {
+	w, _, remote := newManyRemoteWorld(t, 34)
+	before := 0
+	for _, a := range remote {
+		before += a.pings
+	}
+	w.run(20 * time.Second)
+	got := -before
+	for _, a := range remote {
+		got += a.pings
+	}
+	if got > 20*45 {
+		t.Errorf("%d pings to other domains in 20 s, want about 40 a second", got)
+	}
+}
+
+// Half of the agents of another domain die while nobody needs them, then those of the
+// local domain. Flows must not be offered to dead agents: one unanswered ping is repeated
+// and makes the agent suspect, however long the regular interval is.
+func TestDeadRemoteAgentsAreSuspectedWithinOneInterval(t *testing.T) {
+	w, local, remote := newManyRemoteWorld(t, 35)
+	for _, a := range remote[:100] {
+		a.up, a.target.up = false, false
+	}
+	w.run(5*time.Second + 1300*time.Millisecond)
+	for _, a := range local {
+		a.target.draining = true
+	}
+	w.run(600 * time.Millisecond) // the next heartbeats tell
+	var callers []*caller
+	for range 100 {
+		callers = append(callers, w.open())
+	}
+	w.run(time.Second)
+	for _, c := range callers {
+		if c.holder == nil || c.openedAt.Sub(c.startedAt) > 100*time.Millisecond {
+			t.Errorf("flow %s opened after %v", c.flow, c.openedAt.Sub(c.startedAt))
+		}
+	}
+}
+
 // All agents of the local failure domain are drained or die at once. Flows must
 // open in the other domain nearly as soon as this is known.
 func TestRemoteAgentsServeAtOnceWhenLocalOnesAreUnavailable(t *testing.T) {
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -62,6 +62,10 @@
 	knownSince time.Time
 	lastPing   time.Time
 	lastPong   time.Time
+	// unansweredSince is the time of the first ping since the last reply, zero if there
+	// was none. remoteInterval is remotePingInterval for the number of members.
+	unansweredSince time.Time
+	remoteInterval  time.Duration
 	// inFlight is the number of requests queued or executing at reportedAt; openedSince
 	// counts the flows that were offered to the agent since.
 	inFlight, openedSince int
@@ -81,11 +85,6 @@
 	avoidUntil time.Time
 }
 
-// isLive reports whether the agent has replied recently.
-func (m *member) isLive(now time.Time) bool {
-	return !m.lastPong.IsZero() && now.Sub(m.lastPong) < m.suspectTimeout(now)
-}
-
 // lastContact returns when the agent last replied, or when it became known.
 func (m *member) lastContact() time.Time {
 	if m.lastPong.After(m.knownSince) {
@@ -187,11 +186,24 @@
 		return cmp.Compare(x.record.Node, y.record.Node)
 	})
 	clear(s.byService)
+	interval := remotePingInterval(s.countRemote())
 	for _, m := range s.all {
+		m.remoteInterval = interval
 		s.byService[m.service] = append(s.byService[m.service], m)
 	}
 }
 
+// countRemote returns the number of agents of other failure domains.
+func (s *memberSection) countRemote() int {
+	n := 0
+	for _, m := range s.all {
+		if !m.local {
+			n++
+		}
+	}
+	return n
+}
+
 // countListedOrLive returns the number of agents that are listed or live.
 func (s *memberSection) countListedOrLive(now time.Time) int {
 	n := 0
@@ -228,6 +240,9 @@
 
 func (b *Balancer) ping(now time.Time, m *member) {
 	m.lastPing = now
+	if m.unansweredSince.IsZero() {
+		m.unansweredSince = now
+	}
 	s := &b.members
 	b.send(m, Message{
 		Kind: MessagePing, Limits: b.config.limits(m, s.revision),
@@ -235,18 +250,6 @@
 	})
 }
 
-// currentPingInterval returns the interval at which the agent is pinged at
-// present.
-func (m *member) currentPingInterval(now time.Time) time.Duration {
-	switch {
-	case !m.usesFastPing(now):
-		return remotePingInterval
-	case !m.isLive(now) && now.Sub(m.lastContact()) < recoveryPingDuration:
-		return recoveryPingInterval
-	}
-	return pingInterval
-}
-
 // pingDueMembers pings the agents whose ping interval has elapsed.
 func (b *Balancer) pingDueMembers(now time.Time) {
 	b.startRemoteFastPing(now)
@@ -267,7 +270,7 @@
 		b.report(Report{Text: "Agent's admission state changed.", Node: m.record.Node, Why: s.Refusal.String()})
 	}
 	m.status = s
-	m.lastPong = now
+	m.lastPong, m.unansweredSince = now, time.Time{}
 	m.setLoad(now, int(s.InFlight))
 	if s.Service != 0 && s.Service != m.service {
 		m.service = s.Service
