--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -200,16 +200,6 @@
 	}
 }
 
-// stalledSince returns how long the host was stalled since the total was as given.
-func (c *Controller) stalledSince(t *core.Turn, total time.Duration) time.Duration {
-	return c.stalls.stalled(t.Now) - total
-}
-
-// runningTime returns how long a request has run, without the host's stalls.
-func (c *Controller) runningTime(t *core.Turn, r *request) time.Duration {
-	return t.Now.Sub(r.grantedAt) - c.stalledSince(t, r.stalledAtGrant)
-}
-
 // handleConnectionClosed frees the slot of a request that the target no longer
 // runs.
 func (c *Controller) handleConnectionClosed(id core.RequestID) {
--- a/internal/core/admission/decide.go
+++ b/internal/core/admission/decide.go
@@ -150,11 +150,6 @@
 	return c.waitingTime(t, r)+wait < maxQueueWait && t.Now.Add(wait).Before(r.deadline)
 }
 
-// waitingTime returns how long a request has waited, without the host's stalls.
-func (c *Controller) waitingTime(t *core.Turn, r *request) time.Duration {
-	return t.Now.Sub(r.arrivedAt) - c.stalledSince(t, r.stalledAtArrival)
-}
-
 func (c *Controller) grantRequest(t *core.Turn, r *request) {
 	c.queue.remove(r)
 	c.inFlight++
--- a/internal/core/admission/stall.go
+++ b/internal/core/admission/stall.go
@@ -34,3 +34,18 @@
 	}
 	return m.total
 }
+
+// stalledSince returns how long the host was stalled since the total was as given.
+func (c *Controller) stalledSince(t *core.Turn, total time.Duration) time.Duration {
+	return c.stalls.stalled(t.Now) - total
+}
+
+// runningTime returns how long a request has run, without the host's stalls.
+func (c *Controller) runningTime(t *core.Turn, r *request) time.Duration {
+	return t.Now.Sub(r.grantedAt) - c.stalledSince(t, r.stalledAtGrant)
+}
+
+// waitingTime returns how long a request has waited, without the host's stalls.
+func (c *Controller) waitingTime(t *core.Turn, r *request) time.Duration {
+	return t.Now.Sub(r.arrivedAt) - c.stalledSince(t, r.stalledAtArrival)
+}
