Log how old a balancer's configuration was when a newer one comes into force

Change: 'Configuration is in force.' has the store revision and the time since the previous confirmation; openings sent to a cached agent are logged; gauges of version and age.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -130,6 +130,12 @@
 	return b.config.state.Configuration.Version
 }
 
+// ConfirmedAge returns how long ago the store confirmed the state in force, and false if
+// it never did.
+func (b *Balancer) ConfirmedAge(now time.Time) (age time.Duration, confirmed bool) {
+	return now.Sub(b.config.confirmedAt), !b.config.confirmedAt.IsZero()
+}
+
 func (b *Balancer) emit(e Effect) { b.effects = append(b.effects, e) }
 
 func (b *Balancer) report(r Report) { b.emit(Effect{Kind: EffectReport, Report: r}) }
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -116,6 +116,7 @@
 	switch {
 	case e.stage == stageHeld,
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
+		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
 		b.sendOpening(e.agent, s, r, e.agent.service)
 		return
 	case e.stage == stageOpening && retransmitted:
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -273,6 +273,8 @@
 	Age time.Duration
 	// Version is the configuration in force, if it led to the decision.
 	Version int64
+	// Revision is that of the newest change by operators, if it led to the decision.
+	Revision uint64
 	// Incarnation is the start time of the target's process, in milliseconds since
 	// 1970.
 	Incarnation int64
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -128,12 +128,17 @@
 // applyConfiguration puts the configuration into force and announces it to the
 // agents.
 func (b *Balancer) applyConfiguration(now time.Time, s OperatorState) {
+	previous := b.config.confirmedAt
 	b.config.confirmedAt = now
 	if !b.config.update(s) {
 		return
 	}
 	if version := b.Version(); version > 0 {
-		b.report(Report{Text: "Configuration is in force.", Version: version})
+		report := Report{Text: "Configuration is in force.", Version: version, Revision: b.config.state.Revision}
+		if !previous.IsZero() {
+			report.Age = now.Sub(previous)
+		}
+		b.report(report)
 	} else {
 		b.report(Report{Text: "The store holds no configuration yet."})
 	}
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -76,11 +76,27 @@
 		isOperatorKey: b.platform.IsOperatorKey, onSnapshot: b.handleSnapshot, onStatus: b.logStoreStatus,
 	}
 	b.wg.Go(func() { w.run(b.ctx) })
+	b.wg.Go(func() { b.runEvery(gaugeInterval, b.updateGauges) })
 	b.wg.Go(func() { readDatagrams(b.segmentConn, b.handleCallerSegment) })
 	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments)
 	return nil
 }
 
+// gaugeInterval is the interval at which gauges are updated.
+const gaugeInterval = time.Second
+
+// updateGauges updates the gauges of what the balancer believes about the configuration.
+func (b *Balancer) updateGauges() {
+	b.mu.Lock()
+	version := b.steering.Version()
+	age, confirmed := b.steering.ConfirmedAge(time.Now())
+	b.mu.Unlock()
+	b.metrics.Gauge("direct_config_version").Update(float64(version))
+	if confirmed {
+		b.metrics.Gauge("direct_config_confirmed_age_seconds").Update(age.Seconds())
+	}
+}
+
 // maxPollWait bounds the wait of a poll, and so the time until a silently
 // lost watch is detected without a report from another balancer.
 const maxPollWait = 20 * time.Second
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -268,6 +268,9 @@
 	if r.Version != 0 {
 		fields = append(fields, "version", r.Version)
 	}
+	if r.Revision != 0 {
+		fields = append(fields, "revision", r.Revision)
+	}
 	if suppressed > 0 {
 		fields = append(fields, "suppressed", suppressed)
 	}
