--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -22,6 +22,8 @@
 	calls     int
 	// down makes calls fail; silent makes polls return no events.
 	down, silent bool
+	// dropped counts the calls of dropWaitingPolls.
+	dropped int
 }
 
 func newFakeStore() *fakeStore {
@@ -53,6 +55,19 @@
 	f.events = nil
 }
 
+// dropWaitingPolls makes the polls that wait at present never respond.
+func (f *fakeStore) dropWaitingPolls() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped++
+}
+
+func (f *fakeStore) countDropped() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dropped
+}
+
 func (f *fakeStore) setFaults(down, silent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,7 +112,12 @@
 
 func (f *fakeStore) Poll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	deadline := time.Now().Add(wait)
+	dropped := f.countDropped()
 	for {
+		if f.countDropped() != dropped {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
 		events, revision, err := f.eventsSince(prefix, after)
 		if err != nil || len(events) > 0 || time.Now().After(deadline) {
 			return events, revision, err
