Read the store when no balancer's configuration has been confirmed lately

Cause: a store that discards its history leaves waiting polls unanswered. A balancer noticed that after its wait plus 1.5 s, and the wait grew to 18.75 s with 25 balancers, relying on another one to poll earlier. A change ends all polls at once, so they all wait at once.

A newer revision that an agent tells is fetched the same way instead of by a full read. The wait of polls is 20 s. TestFlowIsNotDeclaredLostOnRestartWithAnIncompleteList counts the reads of searches; its world has a long apply timeout, so that its bound stays as it is.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -29,10 +29,13 @@
 type Agent struct {
 	Counters AgentCounters
 
-	identity    AgentIdentity
-	target      targetSection
-	flows       flowSection
-	limits      Limits
+	identity AgentIdentity
+	target   targetSection
+	flows    flowSection
+	limits   Limits
+	// confirmedAt is when the store last told a balancer that no newer limits exist, zero
+	// if unknown.
+	confirmedAt time.Time
 	coldStart   coldStartLimiter
 	persistence persistenceSection
 	effects     []Effect
@@ -119,7 +122,7 @@
 		a.answerQuery(unsureQuery{flow: msg.Flow, ack: msg.Ack, from: from})
 	case MessagePing:
 		a.balancers.recordPing(now, from, msg)
-		a.updateLimits(msg.Limits)
+		a.updateLimits(now, msg)
 		if msg.Unlisted {
 			a.verifyRecord(now, minVerifyInterval)
 		}
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -12,6 +12,13 @@
 	Domain string
 }
 
+// BalancerIdentity identifies a balancer and holds its fixed parameters.
+type BalancerIdentity struct {
+	Identity
+	// ApplyTimeout is the time in which a change by operators has to be in force.
+	ApplyTimeout time.Duration
+}
+
 // BalancerCounters counts decisions since the start of the process.
 type BalancerCounters struct {
 	Opened, OpenStale, Queued, OpenExpired, Refused, Forwarded, Probed, Missed, Searched, Tried atomic.Uint64
@@ -22,22 +29,28 @@
 type Balancer struct {
 	Counters BalancerCounters
 
-	identity Identity
-	config   configSection
-	members  memberSection
-	entries  map[Flow]*flowEntry
+	identity     BalancerIdentity
+	config       configSection
+	confirmation confirmationSection
+	members      memberSection
+	entries      map[Flow]*flowEntry
 
 	searches    []Flow
 	queues      [numFlowClasses][]Flow
 	lastSweep   time.Time
 	lastRefresh time.Time
-	suspensions suspensionDetector
-	effects     []Effect
+	// refreshRequested is set while no read has ended since one was requested.
+	refreshRequested bool
+	suspensions      suspensionDetector
+	effects          []Effect
 }
 
 // NewBalancer returns a balancer without configuration, members or flows.
-func NewBalancer(identity Identity) *Balancer {
-	return &Balancer{identity: identity, members: newMemberSection(), entries: make(map[Flow]*flowEntry)}
+func NewBalancer(identity BalancerIdentity) *Balancer {
+	return &Balancer{
+		identity: identity, confirmation: newConfirmationSection(identity),
+		members: newMemberSection(), entries: make(map[Flow]*flowEntry),
+	}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -54,7 +67,7 @@
 	case *Tick:
 		b.tick(now)
 	case *ConfigurationLoaded:
-		b.applyConfiguration(now, e.State)
+		b.applyConfiguration(now, e)
 	case *MembersLoaded:
 		b.loadMembers(now, e)
 	}
@@ -99,6 +112,7 @@
 }
 
 func (b *Balancer) tick(now time.Time) {
+	b.refreshIfUnconfirmed(now)
 	b.pingDueMembers(now)
 	b.advanceSearches(now)
 	b.offerQueued(now)
@@ -130,10 +144,10 @@
 	return b.config.state.Configuration.Version
 }
 
-// ConfirmedAge returns how long ago the store confirmed the state in force, and false if
-// it never did.
+// ConfirmedAge returns how long ago the store confirmed the state in force to any
+// balancer, and false if it never did.
 func (b *Balancer) ConfirmedAge(now time.Time) (age time.Duration, confirmed bool) {
-	return now.Sub(b.config.confirmedAt), !b.config.confirmedAt.IsZero()
+	return now.Sub(b.confirmation.knownAt), !b.confirmation.knownAt.IsZero()
 }
 
 func (b *Balancer) emit(e Effect) { b.effects = append(b.effects, e) }
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -245,7 +245,7 @@
 	}
 	s := &b.members
 	b.send(m, Message{
-		Kind: MessagePing, Limits: b.config.limits(m, s.revision),
+		Kind: MessagePing, Limits: b.config.limits(m, s.revision), ConfirmedAge: b.confirmation.age(now),
 		Unlisted: !m.listed, ListSettled: s.loaded && now.Sub(s.loadedAt) >= memberListSettleTime, Agents: uint16(min(s.announcedCount, 1<<16-1)),
 	})
 }
@@ -276,9 +276,7 @@
 		m.service = s.Service
 		b.members.rebuildIndex()
 	}
-	if s.Revision > b.config.state.VerifiedRevision {
-		b.requestRefresh(now)
-	}
+	b.learnConfirmation(now, &m.status)
 	if returned {
 		b.queryMember(now, m)
 	}
@@ -290,6 +288,6 @@
 	if now.Sub(b.lastRefresh) < refreshInterval {
 		return
 	}
-	b.lastRefresh = now
+	b.lastRefresh, b.refreshRequested = now, true
 	b.emit(Effect{Kind: EffectRefresh})
 }
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -124,6 +124,9 @@
 	Flows uint32
 	// Revision is the newest configuration revision that the agent has received.
 	Revision uint64
+	// ConfirmedAge is how long ago the store told some balancer that no newer revision
+	// exists, at most MaxConfirmedAge.
+	ConfirmedAge time.Duration
 	// Balancers is the number of balancers that have pinged the agent recently.
 	Balancers uint16
 }
@@ -147,6 +150,9 @@
 	// balancer has reported to the agent.
 	MemberRevision uint64
 	Limits         Limits
+	// ConfirmedAge is, in a ping, how long ago the store confirmed the limits' revision to
+	// the balancer, at most MaxConfirmedAge.
+	ConfirmedAge time.Duration
 	// Unlisted reports, in a ping, that the agent's record is missing from the store,
 	// as far as the balancer knows.
 	Unlisted bool
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -19,7 +19,7 @@
 }
 
 func newQueueingBalancer(agents int) *queueingBalancer {
-	b := &queueingBalancer{now: time.Unix(1000, 0), Balancer: steering.NewBalancer(steering.Identity{Node: "b", Domain: "d"})}
+	b := &queueingBalancer{now: time.Unix(1000, 0), Balancer: steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "d"}, ApplyTimeout: applyTimeout})}
 	shares := []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}
 	b.Step(b.now, &steering.ConfigurationLoaded{State: steering.OperatorState{Revision: 1, VerifiedRevision: 1, Configuration: &steering.Configuration{
 		Version: 1, Routes: map[steering.Endpoint]*steering.Route{
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -76,7 +76,11 @@
 }
 
 // ConfigurationLoaded is the operators' state as read from the store.
-type ConfigurationLoaded struct{ State OperatorState }
+type ConfigurationLoaded struct {
+	State OperatorState
+	// ConfirmedAt is a time at which the store held this state.
+	ConfirmedAt time.Time
+}
 
 func (*ConfigurationLoaded) event() {}
 
@@ -85,8 +89,6 @@
 type configSection struct {
 	state  OperatorState
 	loaded bool
-	// confirmedAt is when the store last confirmed the state.
-	confirmedAt time.Time
 }
 
 // update applies a newer state and reports whether it differs.
@@ -127,12 +129,17 @@
 
 // applyConfiguration puts the configuration into force and announces it to the
 // agents.
-func (b *Balancer) applyConfiguration(now time.Time, s OperatorState) {
-	previous := b.config.confirmedAt
-	b.config.confirmedAt = now
-	if !b.config.update(s) {
+func (b *Balancer) applyConfiguration(now time.Time, e *ConfigurationLoaded) {
+	previous := b.confirmation.knownAt
+	changed := b.config.update(e.State)
+	if e.State.VerifiedRevision >= b.config.state.VerifiedRevision {
+		b.confirmation.recordRead(e.ConfirmedAt)
+	}
+	if !changed {
+		b.announceConfirmation(now)
 		return
 	}
+	b.refreshRequested = false // announceChange reaches more agents
 	if version := b.Version(); version > 0 {
 		report := Report{Text: "Configuration is in force.", Version: version, Revision: b.config.state.Revision}
 		if !previous.IsZero() {
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -22,11 +22,18 @@
 }
 
 // updateLimits applies limits unless newer ones are in force.
-func (a *Agent) updateLimits(limits Limits) {
+func (a *Agent) updateLimits(now time.Time, ping *Message) {
+	limits := ping.Limits
 	a.memberRevision = max(a.memberRevision, limits.MemberRevision)
 	if limits.Revision < a.limits.Revision {
 		return
 	}
+	if limits.Revision > a.limits.Revision {
+		a.confirmedAt = time.Time{}
+	}
+	if at := now.Add(-ping.ConfirmedAge); ping.ConfirmedAge < MaxConfirmedAge && at.After(a.confirmedAt) {
+		a.confirmedAt = at
+	}
 	if limits.DomainOut != a.limits.DomainOut {
 		state := "back in service"
 		if limits.DomainOut {
@@ -46,6 +53,7 @@
 		RequestsPerSecond:  uint16(min(a.flows.requestsPerSecond(t.slots), 1<<16-1)),
 		SingleRequestLimit: uint8(a.requestLimitPerSlot(classSingleRequest)),
 		Flows:              uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
-		Balancers: uint16(min(len(a.balancers.byPeer), 1<<16-1)),
+		ConfirmedAge: confirmedAge(now, a.confirmedAt),
+		Balancers:    uint16(min(len(a.balancers.byPeer), 1<<16-1)),
 	}
 }
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -143,8 +143,10 @@
 	for _, agentsToo := range []bool{false, true} {
 		t.Run(fmt.Sprintf("agents restart %v", agentsToo), func(t *testing.T) {
 			w, callers := newSteadyWorld(t, 16, 2, 5, 60)
+			w.applyTimeout = time.Hour // only searches read the store
 			for _, b := range w.balancers {
 				b.up = false
+				b.refreshes = 0
 			}
 			for _, a := range w.agents {
 				a.up = !agentsToo
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -95,7 +95,7 @@
 func (b *Balancer) View(now time.Time) View {
 	v := View{
 		Role: "balancer", Node: b.identity.Node, Domain: b.identity.Domain, Version: b.Version(), Revision: b.config.state.Revision,
-		ConfirmedMS: ageMS(now, b.config.confirmedAt), Flows: len(b.entries), Queued: b.countQueued(), Peers: []PeerView{},
+		ConfirmedMS: ageMS(now, b.confirmation.knownAt), Flows: len(b.entries), Queued: b.countQueued(), Peers: []PeerView{},
 	}
 	for _, domain := range slices.Sorted(maps.Keys(b.config.state.DomainsOut)) {
 		if b.config.state.DomainsOut[domain] {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -20,9 +20,11 @@
 	retransmitAfter   = 200 * time.Millisecond
 	attemptTimeout    = 1400 * time.Millisecond
 	misdirectionLimit = 3
-	serviceName       = "desk"
-	targetSlots       = 5
-	responseBytes     = 2000
+	// applyTimeout is the time in which a change has to be in force.
+	applyTimeout  = 3 * time.Second
+	serviceName   = "desk"
+	targetSlots   = 5
+	responseBytes = 2000
 	// killGracePeriod is how long misdirected segments are not counted against a host
 	// after its process was killed, as on the platform.
 	killGracePeriod = 4 * time.Second
@@ -44,15 +46,21 @@
 	callers   map[steering.Flow]*caller
 	records   map[string]steering.AgentRecord
 	// served holds the records as last written, which outlive them.
-	served     map[string]steering.AgentRecord
-	saved      map[string]steering.SavedFlows
-	revision   uint64
+	served   map[string]steering.AgentRecord
+	saved    map[string]steering.SavedFlows
+	revision uint64
+	// version is that of the configuration in the store.
+	version    int64
 	domainsOut map[string]bool
 	// lossRate is the share of messages between nodes that are lost.
 	lossRate float64
 	port     uint16
 	// storeDown makes agents' store operations fail silently.
 	storeDown bool
+	// applyTimeout is the time in which balancers have to put a change into force.
+	applyTimeout time.Duration
+	// storeSilent makes the store leave the balancers' reads unanswered.
+	storeSilent bool
 	// idempotent makes the requests of the route idempotent.
 	idempotent bool
 }
@@ -150,7 +158,7 @@
 	return &world{
 		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord), served: make(map[string]steering.AgentRecord),
-		saved: make(map[string]steering.SavedFlows), domainsOut: make(map[string]bool), revision: 1,
+		saved: make(map[string]steering.SavedFlows), domainsOut: make(map[string]bool), revision: 1, version: 1, applyTimeout: applyTimeout,
 	}
 }
 
@@ -180,7 +188,7 @@
 
 // startBalancer starts a process without state.
 func (w *world) startBalancer(b *balancerNode) {
-	b.core = steering.NewBalancer(steering.Identity{Node: b.addr.String(), Domain: b.domain})
+	b.core = steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: b.addr.String(), Domain: b.domain}, ApplyTimeout: w.applyTimeout})
 	b.up = true
 	b.incarnation++
 	w.tickBalancer(b, b.incarnation)
@@ -198,7 +206,7 @@
 
 // syncFromStore delivers the store's contents to a balancer.
 func (w *world) syncFromStore(b *balancerNode) {
-	if !b.up || b.missesUpdates {
+	if !b.up || b.missesUpdates || w.storeSilent {
 		return
 	}
 	out := make(map[string]bool)
@@ -208,8 +216,8 @@
 	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent}
 	w.stepBalancer(b, &steering.ConfigurationLoaded{State: steering.OperatorState{
 		Revision: w.revision, VerifiedRevision: w.revision, DomainsOut: out,
-		Configuration: &steering.Configuration{Version: 1, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
-	}})
+		Configuration: &steering.Configuration{Version: w.version, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
+	}, ConfirmedAt: w.now})
 	e := &steering.MembersLoaded{Revision: w.revision, VerifiedRevision: w.revision}
 	for _, a := range w.agents {
 		if r, ok := w.records[a.name]; ok {
@@ -227,6 +235,15 @@
 	}
 }
 
+// countRefreshes returns how often balancers have requested to read the store.
+func (w *world) countRefreshes() int {
+	n := 0
+	for _, b := range w.balancers {
+		n += b.refreshes
+	}
+	return n
+}
+
 func (w *world) addAgent(domain string) *agentNode {
 	i := len(w.agents)
 	a := &agentNode{
@@ -557,16 +574,18 @@
 	w.schedule(interval, func() { w.retransmit(c, request, min(2*interval, 8*retransmitAfter)) })
 }
 
+// domainNames are the failure domains of the simulated deployments.
+var domainNames = []string{"a", "b"}
+
 // newSteadyWorld starts a small deployment with open flows.
 func newSteadyWorld(t rapid.TB, seed uint64, balancers, agents, flows int) (*world, []*caller) {
 	t.Helper()
 	w := newWorld(t, seed)
-	domains := []string{"a", "b"}
 	for i := range agents {
-		w.addAgent(domains[i%len(domains)])
+		w.addAgent(domainNames[i%len(domainNames)])
 	}
 	for i := range balancers {
-		w.addBalancer(domains[i%len(domains)])
+		w.addBalancer(domainNames[i%len(domainNames)])
 	}
 	w.run(2 * time.Second)
 	var callers []*caller
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -50,9 +50,11 @@
 // NewBalancer returns a balancer that has not started.
 func NewBalancer(s *settings.DirectBalancer, p Platform, logs *obs.LoggerFactory, metrics tally.Scope) *Balancer {
 	b := &Balancer{
-		node:     newNode(&s.Direct, p, "balancer", logs, metrics),
-		steering: steering.NewBalancer(steering.Identity{Node: string(s.Node), Domain: string(s.Domain)}),
-		refresh:  newSignal(),
+		node: newNode(&s.Direct, p, "balancer", logs, metrics),
+		steering: steering.NewBalancer(steering.BalancerIdentity{
+			Identity: steering.Identity{Node: string(s.Node), Domain: string(s.Domain)}, ApplyTimeout: s.ApplyTimeout,
+		}),
+		refresh: newSignal(),
 	}
 	b.core, b.performRoleEffect = b.steering, b.performBalancerEffect
 	return b
@@ -97,21 +99,8 @@
 	}
 }
 
-// maxPollWait bounds the wait of a poll, and so the time until a silently
-// lost watch is detected without a report from another balancer.
-const maxPollWait = 20 * time.Second
-
-// pollWait returns how long a poll waits. All balancers lose their watches at
-// once if the store discards its history; the first to poll again informs the
-// others through the agents. The wait therefore grows with the number of
-// balancers: together they poll twice in each configured wait.
-func (b *Balancer) pollWait() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	configured := b.current.Load().Store.Wait
-	wait := time.Duration(b.steering.Balancers()) * configured / 2
-	return min(max(wait, configured), maxPollWait)
-}
+// pollWait returns how long a poll waits.
+func (b *Balancer) pollWait() time.Duration { return b.current.Load().Store.Wait }
 
 const (
 	// minChangePause and maxChangePause bound the pause after a change in the
@@ -162,7 +151,7 @@
 		b.members = steering.MembersLoaded{Records: records, Revision: s.agentRevision}
 	}
 	b.members.VerifiedRevision = s.revision
-	b.handleEvent(&steering.ConfigurationLoaded{State: b.operatorState})
+	b.handleEvent(&steering.ConfigurationLoaded{State: b.operatorState, ConfirmedAt: s.confirmedAt})
 	b.handleEvent(&b.members)
 }
 
--- a/internal/direct/balancer_test.go
+++ b/internal/direct/balancer_test.go
@@ -46,7 +46,7 @@
 	conf := &settings.DirectBalancer{Direct: settings.Direct{
 		Node: "b", Domain: "d", Segments: loopback, Peer: loopback, Ready: loopback, Metrics: loopback, StopTimeout: time.Second,
 		Store: settings.PollingStore{Address: loopback, Timeout: time.Second, Wait: largeFleetWait},
-	}}
+	}, ApplyTimeout: applyTimeout}
 	b := NewBalancer(conf, Platform{
 		Store: s, SetStoreAddress: func(netip.AddrPort) {}, ReadyPath: "/ready", AgentPrefix: "op-agents/", WatchPrefix: "op",
 		IsOperatorKey:       func(key string) bool { return strings.HasPrefix(key, "op/") },
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -128,6 +128,25 @@
 	eventually(t, "recovery", func() bool { return o.value("op/config") == "2" })
 }
 
+// The store drops the waiting poll and a check that was made meanwhile. The next check
+// must be made without waiting for these.
+func TestWatcherChecksAgainWhileAnEarlierCheckHangs(t *testing.T) {
+	s := newFakeStore()
+	s.set("op/config", "1", 0)
+	refresh := newSignal()
+	o := startWatcher(t, s, refresh)
+	eventually(t, "first read", func() bool { return o.value("op/config") == "1" })
+	s.hangPolls(true)
+	refresh.raise()
+	eventually(t, "first check", func() bool { return len(refresh) == 0 })
+	time.Sleep(10 * pollInterval)
+	s.hangPolls(false)
+	s.dropWaitingPolls()
+	s.set("op/config", "2", 0)
+	refresh.raise()
+	eventually(t, "change", func() bool { return o.value("op/config") == "2" })
+}
+
 func newRegistrar(s *fakeStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	r := &registrar{
 		store: s, key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -22,6 +22,8 @@
 	calls     int
 	// down makes calls fail; silent makes polls return no events.
 	down, silent bool
+	// hangs makes polls that begin never respond.
+	hangs bool
 	// dropped counts the calls of dropWaitingPolls.
 	dropped int
 }
@@ -68,6 +70,18 @@
 	return f.dropped
 }
 
+func (f *fakeStore) hangPolls(hang bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hangs = hang
+}
+
+func (f *fakeStore) hanging() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hangs
+}
+
 func (f *fakeStore) setFaults(down, silent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,6 +127,10 @@
 func (f *fakeStore) Poll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	deadline := time.Now().Add(wait)
 	dropped := f.countDropped()
+	if f.hanging() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	for {
 		if f.countDropped() != dropped {
 			<-ctx.Done()
--- a/internal/direct/signal.go
+++ b/internal/direct/signal.go
@@ -11,3 +11,11 @@
 	default: // already pending
 	}
 }
+
+// clear withdraws a pending notification.
+func (s signal) clear() {
+	select {
+	case <-s:
+	default: // none is pending
+	}
+}
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -42,7 +42,7 @@
 	// onStatus is called with true when the watch is established, and with false
 	// and the error when it is lost.
 	onStatus func(bool, error)
-	// refresh requests a read of all pairs.
+	// refresh requests a check for changes that does not rely on the waiting poll.
 	refresh signal
 
 	pairs map[string]store.KeyValue
@@ -55,8 +55,10 @@
 // storeSnapshot is the contents of a key prefix of the store.
 type storeSnapshot struct {
 	pairs []store.KeyValue
-	// revision is the revision of the store at which the pairs were read.
-	revision uint64
+	// revision is the revision of the store at which the pairs were read, confirmedAt a
+	// time at which that was the newest one of the prefix.
+	revision    uint64
+	confirmedAt time.Time
 	// operatorRevision is that of the last change by operators, agentRevision
 	// that of the last one by agents.
 	operatorRevision, agentRevision uint64
@@ -89,77 +91,109 @@
 	w.onStatus(up, err)
 }
 
-// watch reads all pairs and polls for changes until a call fails or a refresh is
-// requested.
+// watch reads all pairs and polls for changes until a call fails.
 func (w *storeWatcher) watch(ctx context.Context, retry *backoff.ExponentialBackOff) error {
+	started := time.Now()
 	result, err := w.store.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
 	retry.Reset()
 	w.replacePairs(result)
-	w.publish(result.Revision)
+	w.publish(result.Revision, started)
+	w.refresh.clear()
 	w.setStatus(true, nil)
 	revision := result.Revision
 	for {
-		events, next, refresh, err := w.poll(ctx, revision)
-		if err != nil || refresh {
-			return err
+		r := w.poll(ctx, revision)
+		if r.err != nil {
+			return r.err
 		}
-		revision = next
-		w.applyEvents(events)
-		w.publish(revision)
-		if len(events) > 0 {
-			if w.pauseAfterChange(ctx) {
-				return nil
-			}
+		revision = r.next
+		w.applyEvents(r.events)
+		w.publish(revision, r.confirmedAt)
+		if len(r.events) > 0 {
+			w.refresh.clear()
+			w.pauseAfterChange(ctx)
 		}
 	}
 }
 
 // pauseAfterChange waits before the next poll, so that a series of changes
-// costs few calls. It reports whether a refresh was requested meanwhile.
-func (w *storeWatcher) pauseAfterChange(ctx context.Context) bool {
+// costs few calls. A requested refresh ends the pause.
+func (w *storeWatcher) pauseAfterChange(ctx context.Context) {
 	timer := time.NewTimer(w.changePause())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-w.refresh:
-		return true
+		w.refresh.raise() // for the poll that follows
 	}
-	return false
 }
 
 // publish passes a copy of the pairs to onSnapshot.
-func (w *storeWatcher) publish(revision store.Revision) {
+func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time) {
 	w.onSnapshot(storeSnapshot{
-		pairs: w.sortedPairs(), revision: uint64(revision),
+		pairs: w.sortedPairs(), revision: uint64(revision), confirmedAt: confirmedAt,
 		operatorRevision: uint64(w.operatorRevision), agentRevision: uint64(w.agentRevision),
 	})
 }
 
-// poll waits for changes. A requested refresh interrupts it, and refresh is set.
-func (w *storeWatcher) poll(ctx context.Context, after store.Revision) (events []store.Event, next store.Revision, refresh bool, err error) {
+// pollResult is the result of a poll: the changes, and the revision to go on from.
+type pollResult struct {
+	events      []store.Event
+	next        store.Revision
+	confirmedAt time.Time
+	err         error
+}
+
+// maxChecks bounds the polls of a watcher that do not wait and are in progress.
+const maxChecks = 8
+
+// poll waits for changes after a revision. While it waits, each requested refresh starts
+// another poll that does not wait, as the store may have dropped the earlier ones. Such a
+// poll without changes is published, and the wait continues.
+func (w *storeWatcher) poll(ctx context.Context, after store.Revision) pollResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	refreshed := make(chan bool, 1)
+	waiting, checks := make(chan pollResult, 1), make(chan pollResult, maxChecks)
 	go func() {
+		r := w.pollOnce(ctx, after, w.pollWait())
+		r.confirmedAt = time.Now() // the store responds when the wait ends
+		waiting <- r
+	}()
+	inProgress := 0
+	var confirmedAt time.Time // by a check
+	for {
 		select {
+		case r := <-waiting:
+			return r
 		case <-w.refresh:
-			refreshed <- true
-			cancel()
-		case <-done:
-			refreshed <- false
+			if inProgress < maxChecks {
+				inProgress++
+				go func() { checks <- w.pollOnce(ctx, after, 0) }()
+			}
+		case r := <-checks:
+			inProgress--
+			switch {
+			case r.err != nil && r.confirmedAt.Before(confirmedAt):
+				// A later check has succeeded.
+			case r.err != nil || len(r.events) > 0:
+				return r
+			default:
+				confirmedAt = r.confirmedAt
+				w.publish(r.next, r.confirmedAt)
+			}
 		}
-	}()
-	events, next, err = w.store.Poll(ctx, w.prefix, after, w.pollWait())
-	close(done)
-	if <-refreshed {
-		return nil, 0, true, nil
 	}
-	return events, next, false, err
+}
+
+// pollOnce makes a poll.
+func (w *storeWatcher) pollOnce(ctx context.Context, after store.Revision, wait time.Duration) pollResult {
+	r := pollResult{confirmedAt: time.Now()}
+	r.events, r.next, r.err = w.store.Poll(ctx, w.prefix, after, wait)
+	return r
 }
 
 // replacePairs replaces the copy by the result of a read. A pair that is missing
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -15,9 +15,9 @@
 	// Timeout limits one call. Default 1500ms. A shorter one retries sooner; a
 	// longer one tolerates a slow store.
 	Timeout time.Duration `toml:"timeout"`
-	// Wait is how long one long poll waits for changes. Default 1500ms: a poll
-	// whose connection was lost without an error is detected within the time in
-	// which a configuration has to be in force. A shorter one costs calls.
+	// Wait is how long one long poll waits for changes. Default 20s. A shorter one
+	// costs calls. A poll that was lost without an error is detected sooner: see
+	// DirectBalancer.ApplyTimeout.
 	Wait time.Duration `toml:"wait"`
 	// Lease is the lifetime of an agent's record after its last renewal. Default
 	// 60s. A shorter one removes failed agents sooner and costs calls.
@@ -54,6 +54,9 @@
 // DirectBalancer holds the settings of a balancer for direct server return.
 type DirectBalancer struct {
 	Direct
+	// ApplyTimeout is the time in which a change by operators has to be in force
+	// everywhere. Default 3s. A shorter one costs calls to the store.
+	ApplyTimeout time.Duration `toml:"apply_timeout"`
 }
 
 // DirectAgent holds the settings of an agent for direct server return.
@@ -77,8 +80,12 @@
 	defaultDirectStopTimeout = 6 * time.Second
 	maxDirectStopTimeout     = 5 * time.Minute
 
+	defaultApplyTimeout = 3 * time.Second
+	minApplyTimeout     = 500 * time.Millisecond
+	maxApplyTimeout     = time.Minute
+
 	defaultPollingTimeout = 1500 * time.Millisecond
-	defaultPollWait       = 1500 * time.Millisecond
+	defaultPollWait       = 20 * time.Second
 	minPollWait           = 100 * time.Millisecond
 	maxPollWait           = 30 * time.Second
 	defaultRecordLease    = time.Minute
@@ -105,7 +112,7 @@
 			addressField("store.address", "Address of the store.", &d.Store.Address),
 			durationField("store.timeout", "Time limit of one call. A shorter one retries sooner; a longer one tolerates a slow store.",
 				defaultPollingTimeout, minStoreTimeout, maxStoreTimeout, &d.Store.Timeout),
-			durationField("store.wait", "Time that one long poll waits for changes. A shorter one costs calls; a longer one detects a lost connection later.",
+			durationField("store.wait", "Time that one long poll waits for changes. A shorter one costs calls.",
 				defaultPollWait, minPollWait, maxPollWait, &d.Store.Wait),
 			durationField("store.lease", "Lifetime of an agent's record after its last renewal. A shorter one removes failed agents sooner and costs calls.",
 				defaultRecordLease, minRecordLease, maxRecordLease, &d.Store.Lease),
@@ -115,6 +122,10 @@
 
 func directBalancerSchema(b *DirectBalancer) schema {
 	s := directSchema(&b.Direct)
+	s.fields = append(s.fields,
+		durationField("apply_timeout", "Time in which a change by operators has to be in force everywhere. A shorter one costs calls to the store.",
+			defaultApplyTimeout, minApplyTimeout, maxApplyTimeout, &b.ApplyTimeout),
+	)
 	s.checks = append(s.checks, func(p *parseState) {
 		checkAddressConflicts(p, []listener{{"ready", b.Ready}, {"metrics", b.Metrics}})
 		checkAddressConflicts(p, []listener{{"segments", b.Segments}, {"peer", b.Peer}})
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 )
@@ -56,7 +57,8 @@
 	case steering.MessagePing:
 		buf = appendLimits(buf, &m.Limits)
 		buf = append(buf, boolByte(m.Unlisted)*pingUnlisted|boolByte(m.ListSettled)*pingListSettled)
-		return binary.BigEndian.AppendUint16(buf, m.Agents)
+		buf = binary.BigEndian.AppendUint16(buf, m.Agents)
+		return appendAge(buf, m.ConfirmedAge)
 	case steering.MessagePong:
 		return appendStatus(buf, &m.Status)
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
@@ -97,7 +99,24 @@
 	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
 	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
 	buf = binary.BigEndian.AppendUint16(buf, s.Balancers)
-	return append(buf, s.SingleRequestLimit)
+	buf = append(buf, s.SingleRequestLimit)
+	return appendAge(buf, s.ConfirmedAge)
+}
+
+// appendAge appends the age of a confirmation, in milliseconds.
+func appendAge(buf []byte, age time.Duration) []byte {
+	return binary.BigEndian.AppendUint16(buf, uint16(min(max(age, 0), steering.MaxConfirmedAge)/time.Millisecond))
+}
+
+// decodeAge decodes the age of a confirmation. Nodes of earlier versions send none.
+func decodeAge(body []byte) (time.Duration, error) {
+	switch {
+	case len(body) == 0:
+		return steering.MaxConfirmedAge, nil
+	case len(body) < ageSize:
+		return 0, errTooShort
+	}
+	return time.Duration(binary.BigEndian.Uint16(body)) * time.Millisecond, nil
 }
 
 // Lengths of the fields after the header, in bytes.
@@ -105,6 +124,8 @@
 	flowSize   = 26
 	pingSize   = 24
 	statusSize = 34
+	// ageSize is that of the age that follows a ping and a status.
+	ageSize = 2
 )
 
 // Decode decodes a datagram. The message refers to raw.
@@ -151,6 +172,7 @@
 		}
 		m.Unlisted, m.ListSettled = body[21]&pingUnlisted != 0, body[21]&pingListSettled != 0
 		m.Agents = binary.BigEndian.Uint16(body[22:])
+		m.ConfirmedAge, err = decodeAge(body[pingSize:])
 	case steering.MessagePong:
 		if len(body) < statusSize {
 			return errTooShort
@@ -166,6 +188,7 @@
 			Revision:          binary.BigEndian.Uint64(body[23:]),
 			Balancers:         binary.BigEndian.Uint16(body[31:]), SingleRequestLimit: body[33],
 		}
+		m.Status.ConfirmedAge, err = decodeAge(body[statusSize:])
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
 		steering.MessageRefused, steering.MessageMissed:
 		m.Segment, err = decode(body)
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/steerwire"
@@ -29,10 +30,11 @@
 		{Kind: steering.MessageHeld, Flow: flow},
 		{Kind: steering.MessageQuery, Flow: flow, Ack: 9},
 		{Kind: steering.MessageReply, Flow: flow, Verdict: steering.VerdictTried, MemberRevision: 12, Agents: 600},
-		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: 3, MemberRevision: 4, DomainOut: true, ColdOpensPerSecond: 2.5}, Unlisted: true, Agents: 600},
+		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: 3, MemberRevision: 4, DomainOut: true, ColdOpensPerSecond: 2.5}, ConfirmedAge: 1234 * time.Millisecond, Unlisted: true, Agents: 600},
 		{Kind: steering.MessagePing, ListSettled: true, Agents: 600},
 		{Kind: steering.MessagePong, Status: steering.Status{
 			Incarnation: 1, Service: 2, Refusal: steering.RefusedBusy, Slots: 3, InFlight: 4, RequestsPerSecond: 5, Flows: 6, Revision: 7, Balancers: 8, SingleRequestLimit: 9,
+			ConfirmedAge: steering.MaxConfirmedAge,
 		}},
 	} {
 		got, err := steerwire.Decode(steerwire.Append(nil, &m), rawSegment)
@@ -59,6 +61,17 @@
 	}
 }
 
+// Nodes of earlier versions send no age of a confirmation.
+func TestMessagesWithoutConfirmedAgeAreDecoded(t *testing.T) {
+	for _, kind := range []steering.MessageKind{steering.MessagePing, steering.MessagePong} {
+		raw := steerwire.Append(nil, &steering.Message{Kind: kind})
+		m, err := steerwire.Decode(raw[:len(raw)-2], rawSegment)
+		if err != nil || m.ConfirmedAge+m.Status.ConfirmedAge != steering.MaxConfirmedAge {
+			t.Errorf("kind %d: decoded %+v, error %v", kind, m, err)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(steerwire.Append(nil, &steering.Message{Kind: steering.MessageQuery, Flow: flow}))
 	f.Add(steerwire.Append(nil, &steering.Message{Kind: steering.MessagePong}))
