Offer a reopened flow for the service that the route names now

Cause: the opening segment of a cached flow went to the cached agent for that agent's service.

Change: it goes there for the route's service; an agent of another service refuses it, unless it holds the open flow, and the balancer offers it elsewhere.

--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -117,7 +117,8 @@
 	case e.stage == stageHeld,
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
 		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
-		b.sendOpening(e.agent, s, r, e.agent.service)
+		// An agent that does not hold the flow refuses it if the route's service is not its own.
+		b.sendOpening(e.agent, s, r, r.pickService(s.Flow.Hash()))
 		return
 	case e.stage == stageOpening && retransmitted:
 		b.offerNext(now, e, s, r)
