--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -45,6 +45,8 @@
 	// watcher's goroutine uses them.
 	operatorState steering.OperatorState
 	members       steering.MembersLoaded
+	// era is that of the store in the last snapshot.
+	era uint64
 }
 
 // NewBalancer returns a balancer that has not started.
@@ -134,6 +136,7 @@
 // handleSnapshot passes the contents of the store to the core. It decodes only
 // the part that has changed.
 func (b *Balancer) handleSnapshot(s storeSnapshot) {
+	b.checkEra()
 	if s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision == 0 {
 		state, errs := b.platform.DecodeOperatorState(s.pairs)
 		for _, err := range errs {
@@ -155,6 +158,15 @@
 	b.handleEvent(&b.members)
 }
 
+// checkEra reports that the store was restored from a copy.
+func (b *Balancer) checkEra() {
+	era := b.platform.Store.Era()
+	if b.era != 0 && era > b.era {
+		b.info("Store was restored from a copy.", "era", era)
+	}
+	b.era = era
+}
+
 func (b *Balancer) handleCallerSegment(raw []byte, _ netip.AddrPort) {
 	s, err := b.platform.Segments.DecodeFromCaller(raw)
 	if err != nil {
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -14,6 +14,7 @@
 // fakeStore is an in-memory store with fault injection.
 type fakeStore struct {
 	mu        sync.Mutex
+	era       uint64
 	revision  store.Revision
 	pairs     map[string]store.KeyValue
 	events    []store.Event
@@ -29,7 +30,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, pairs: make(map[string]store.KeyValue)}
+	return &fakeStore{era: store.FirstEra, revision: 1, pairs: make(map[string]store.KeyValue)}
 }
 
 func (f *fakeStore) set(key, value string, lease store.LeaseID) {
@@ -88,6 +89,12 @@
 	f.down, f.silent = down, silent
 }
 
+func (f *fakeStore) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 func (f *fakeStore) countCall() error {
 	f.calls++
 	if f.down {
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -40,6 +40,8 @@
 	deleted   bool
 	storeDown bool
 	saver     *saver
+	// era is that of the store as last seen.
+	era uint64
 }
 
 // setDesired sets the record to write, nil to delete it. It replaces one that is still
@@ -56,6 +58,7 @@
 // one until the context ends.
 func (r *registrar) run(ctx context.Context) {
 	r.readPrevious(ctx)
+	r.checkEra()
 	timer := time.NewTimer(r.leaseTTL / renewalsPerLease)
 	defer timer.Stop()
 	for {
@@ -72,9 +75,19 @@
 		case <-timer.C:
 			timer.Reset(r.renewLease(ctx))
 		}
+		r.checkEra()
 	}
 }
 
+// checkEra reports that the store was restored from a copy.
+func (r *registrar) checkEra() {
+	era := r.store.Era()
+	if r.era != 0 && era > r.era {
+		r.info("Store was restored from a copy.", "era", era)
+	}
+	r.era = era
+}
+
 // readPrevious reads the record of an earlier process. It retries until it succeeds.
 func (r *registrar) readPrevious(ctx context.Context) {
 	retry := newBackoff()
--- a/internal/store/polling.go
+++ b/internal/store/polling.go
@@ -5,10 +5,17 @@
 	"time"
 )
 
+// FirstEra is the era of a store that was never restored from a copy.
+const FirstEra = 1
+
 // PollingStore is a key-value service whose watches are long polls over a
 // prefix. Calls return the errors of this package. It is safe for concurrent
 // use.
 type PollingStore interface {
+	// Era returns the era of the latest response, at least FirstEra. An era begins when
+	// the store is restored from a copy: changes after the copy are lost, leases too, and
+	// their revisions are given out again.
+	Era() uint64
 	// List reads all pairs under a prefix. The result's revision is that of the
 	// first page, so a Poll from it reports every later change.
 	List(ctx context.Context, prefix string) (RangeResult, error)
