--- a/internal/direct/balancer_test.go
+++ b/internal/direct/balancer_test.go
@@ -40,7 +40,7 @@
 }
 
 // startBalancer starts a balancer on ephemeral loopback ports.
-func startBalancer(t *testing.T, s *fakeStore) *Balancer {
+func startBalancer(t *testing.T, s store.PollingStore, decode func([]store.KeyValue) (steering.OperatorState, []error)) *Balancer {
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	conf := &settings.DirectBalancer{Direct: settings.Direct{
@@ -50,7 +50,7 @@
 	b := NewBalancer(conf, Platform{
 		Store: s, SetStoreAddress: func(netip.AddrPort) {}, ReadyPath: "/ready", AgentPrefix: "op-agents/", WatchPrefix: "op",
 		IsOperatorKey:       func(key string) bool { return strings.HasPrefix(key, "op/") },
-		DecodeOperatorState: decodeTestState,
+		DecodeOperatorState: decode,
 	}, obs.NewLoggerFactory(io.Discard, "info"), tally.NoopScope)
 	if err := b.Start(http.NotFoundHandler()); err != nil {
 		t.Fatal(err)
@@ -72,7 +72,7 @@
 func TestChangeIsInForceThoughWatchIsSilentlyLost(t *testing.T) {
 	s := newFakeStore()
 	s.set("op/config", "1", 0)
-	b := startBalancer(t, s)
+	b := startBalancer(t, s, decodeTestState)
 	eventually(t, "first version", func() bool { return b.version() == 1 })
 	time.Sleep(2 * minChangePause) // the balancer polls
 	s.dropWaitingPolls()
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -147,7 +147,7 @@
 	eventually(t, "change", func() bool { return o.value("op/config") == "2" })
 }
 
-func newRegistrar(s *fakeStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
+func newRegistrar(s store.PollingStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	r := &registrar{
 		store: s, key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: func(e steering.Event) {
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -58,7 +58,7 @@
 // one until the context ends.
 func (r *registrar) run(ctx context.Context) {
 	r.readPrevious(ctx)
-	r.checkEra()
+	r.checkEra(ctx)
 	timer := time.NewTimer(r.leaseTTL / renewalsPerLease)
 	defer timer.Stop()
 	for {
@@ -75,12 +75,12 @@
 		case <-timer.C:
 			timer.Reset(r.renewLease(ctx))
 		}
-		r.checkEra()
+		r.checkEra(ctx)
 	}
 }
 
 // checkEra reports that the store was restored from a copy.
-func (r *registrar) checkEra() {
+func (r *registrar) checkEra(context.Context) {
 	era := r.store.Era()
 	if r.era != 0 && era > r.era {
 		r.info("Store was restored from a copy.", "era", era)
