Order revisions by the store's era

Cause: balancers and agents keep what has the highest revision, and a restored store counts from a lower one again. Polls from a revision that the new history has reached again missed the changes before it.

Change: the adapter returns revisions that hold the era above the store's number, so a later era is larger everywhere, also in datagrams. A poll from an earlier era, and a read of which pages are of two eras, fail as if the history were lost. Logs and views tell era and number.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -158,7 +158,7 @@
 	a.flows.addOpening(now, msg)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
-	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Version: int64(a.limits.Revision)})
+	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Revision: a.limits.Revision})
 	a.deliver(from, s)
 }
 
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -39,7 +39,7 @@
 		if limits.DomainOut {
 			state = "taken out"
 		}
-		a.report(Report{Text: "Failure domain changed.", Node: a.identity.Domain, Why: state, Version: int64(limits.Revision)})
+		a.report(Report{Text: "Failure domain changed.", Node: a.identity.Domain, Why: state, Revision: limits.Revision})
 	}
 	a.limits = limits
 }
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -15,8 +15,10 @@
 	Domain string `json:"domain"`
 	// Version is the configuration in force at a balancer, 0 if none is.
 	Version int64 `json:"version,omitempty"`
-	// Revision is that of the newest change by operators that is known.
+	// Revision is that of the newest change by operators that is known, in the Era of the
+	// store.
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	// ConfirmedMS is how long ago the store confirmed the revision to a balancer.
 	ConfirmedMS int64    `json:"confirmed_ms,omitempty"`
 	DomainsOut  []string `json:"domains_out,omitempty"`
--- a/internal/ctl/direct.go
+++ b/internal/ctl/direct.go
@@ -13,6 +13,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/direct"
+	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 // flagHost is the flag that names a host at which discovery starts.
@@ -68,7 +69,7 @@
 func (a *App) printDirect(r directReport) error {
 	hosts := newTable("NODE", "ROLE", "DOMAIN", "VERSION", "REVISION", "CONFIRMED", "FLOWS", "WAITING", "STATE")
 	for _, h := range r.Hosts {
-		hosts.addRow(h.Node, h.Role, h.Domain, formatNonZero64(h.Version), strconv.FormatUint(h.Revision, 10), confirmedAge(h.View),
+		hosts.addRow(h.Node, h.Role, h.Domain, formatNonZero64(h.Version), formatRevision(h.View), confirmedAge(h.View),
 			strconv.Itoa(h.Flows), formatNonZero64(int64(h.Queued)), describeState(h.View))
 	}
 	if err := hosts.print(a.Stdout); err != nil {
@@ -186,3 +187,13 @@
 	}
 	return nil
 }
+
+// formatRevision formats the revision that a host knows, with the store's era before it
+// if the store was restored.
+func formatRevision(v steering.View) string {
+	number := strconv.FormatUint(v.Revision, 10)
+	if v.Era <= store.FirstEra {
+		return number
+	}
+	return strconv.FormatUint(v.Era, 10) + ":" + number
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -269,7 +269,8 @@
 		fields = append(fields, "version", r.Version)
 	}
 	if r.Revision != 0 {
-		fields = append(fields, "revision", r.Revision)
+		revision := store.Revision(r.Revision)
+		fields = append(fields, "revision", revision.Number(), "era", revision.Era())
 	}
 	if suppressed > 0 {
 		fields = append(fields, "suppressed", suppressed)
--- a/internal/store/polling.go
+++ b/internal/store/polling.go
@@ -5,25 +5,24 @@
 	"time"
 )
 
-// FirstEra is the era of a store that was never restored from a copy.
-const FirstEra = 1
-
 // PollingStore is a key-value service whose watches are long polls over a
-// prefix. Calls return the errors of this package. It is safe for concurrent
-// use.
+// prefix. Revisions also hold the era of the store: see NewRevision. Calls return the
+// errors of this package. It is safe for concurrent use.
 type PollingStore interface {
 	// Era returns the era of the latest response, at least FirstEra. An era begins when
 	// the store is restored from a copy: changes after the copy are lost, leases too, and
 	// their revisions are given out again.
 	Era() uint64
 	// List reads all pairs under a prefix. The result's revision is that of the
-	// first page, so a Poll from it reports every later change.
+	// first page, so a Poll from it reports every later change. It fails with
+	// ErrCompacted if the store was restored while the pages were read.
 	List(ctx context.Context, prefix string) (RangeResult, error)
 	// Get reads a pair and reports whether it exists.
 	Get(ctx context.Context, key string) (KeyValue, bool, error)
 	// Poll waits for changes under a prefix after a revision and returns them
 	// with the revision to continue from. It returns no events if wait elapses
-	// first. It fails with ErrCompacted if the store no longer keeps the changes.
+	// first. It fails with ErrCompacted if the store no longer keeps the changes, or was
+	// restored since the revision.
 	Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
 	// Put writes pairs in one transaction. It fails with ErrLeaseLapsed if a
 	// lease has lapsed, and with ErrOutcomeUnknown if the write may have taken
