Agents write again what a restored store has lost

By the tests: an agent's record stays lost if its lease number was given to another agent, a deleted record stays, saved flows are not saved.

Cause: an agent believed that what it had written is there, and that a lease number is its own for as long as renewing it succeeds. A restored store loses changes and gives lease numbers out again.

A record that was written under a lease of an earlier era is written again under a new one.

TestRecordLeavesTheLeaseOfAnotherAgent came with the change.

--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -34,8 +34,10 @@
 	warn         func(string, error)
 	info         func(string, ...any)
 
-	lease  store.LeaseID
-	record *steering.AgentRecord
+	lease store.LeaseID
+	// leaseEra is the era of the store in which the lease was granted.
+	leaseEra uint64
+	record   *steering.AgentRecord
 	// deleted reports that the stored record was deleted as desired.
 	deleted   bool
 	storeDown bool
@@ -79,15 +81,6 @@
 	}
 }
 
-// checkEra reports that the store was restored from a copy.
-func (r *registrar) checkEra(context.Context) {
-	era := r.store.Era()
-	if r.era != 0 && era > r.era {
-		r.info("Store was restored from a copy.", "era", era)
-	}
-	r.era = era
-}
-
 // readPrevious reads the record of an earlier process. It retries until it succeeds.
 func (r *registrar) readPrevious(ctx context.Context) {
 	retry := newBackoff()
@@ -156,6 +149,9 @@
 		return err
 	}
 	err = r.store.Put(ctx, store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.servedKey, Value: value})
+	if err == nil && r.store.Era() > r.leaseEra {
+		err = errLeaseOfEarlierEra
+	}
 	if errors.Is(err, store.ErrLeaseLapsed) {
 		r.lease = 0
 	}
@@ -171,11 +167,11 @@
 	if err != nil {
 		return err
 	}
-	r.lease = lease
+	r.lease, r.leaseEra = lease, r.store.Era()
 	return nil
 }
 
-// verifyRecord rewrites the record if it is missing from the store.
+// verifyRecord rewrites the record if the store does not hold it as written.
 func (r *registrar) verifyRecord(ctx context.Context) {
 	if r.record == nil {
 		return
@@ -184,7 +180,7 @@
 	switch {
 	case err != nil:
 		r.markStoreDown(err)
-	case !found || kv.Lease != r.lease:
+	case !found || kv.Lease != r.lease || !r.isRecord(kv.Value):
 		r.info("The record is missing. Rewriting it.", "key", r.key)
 		r.lease = 0
 		r.storeDesired(ctx)
@@ -193,6 +189,12 @@
 	}
 }
 
+// isRecord reports whether a value is the encoded record.
+func (r *registrar) isRecord(value []byte) bool {
+	record, err := decodeRecord(value)
+	return err == nil && record == *r.record
+}
+
 // saveFlows tries once to save the flows, under the record's lease.
 func (r *registrar) saveFlows(ctx context.Context) {
 	if r.lease == 0 {
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// The agent writes its record before it notices that the store was restored, and its lease
+// is another agent's by now: the record must not stay under that one.
+func TestRecordLeavesTheLeaseOfAnotherAgent(t *testing.T) {
+	s := serveStore(t)
+	ctx := context.Background()
+	copied := s.Copy()
+	a := newRestoredAgent(s)
+	a.register(ctx)
+	s.Restore(copied)
+	other, err := newStoreClient(s).Grant(ctx, time.Minute)
+	if err != nil || other != a.lease {
+		t.Fatalf("the other agent has lease %d, want %d, error %v", other, a.lease, err)
+	}
+	a.storeDesired(ctx)
+	if kv, found := stored(t, s, a.key); !found || kv.Lease == other || kv.Lease != a.lease {
+		t.Errorf("record found %v under lease %d, of the other agent is %d", found, kv.Lease, other)
+	}
+}
+
 // The record of a target that has left is back in the restored store: it must be deleted
 // again.
 func TestDeletedRecordIsDeletedAgainAfterTheStoreWasRestored(t *testing.T) {
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -108,6 +108,9 @@
 	return true, nil
 }
 
+// forgetSaved makes the next save write the flows even if they have not changed.
+func (s *saver) forgetSaved() { s.saved = steering.SavedFlows{} }
+
 func (s *saver) write(ctx context.Context, flows *steering.SavedFlows, lease store.LeaseID) error {
 	value, err := encodeSaved(flows)
 	if err != nil {
