Take nothing as complete that a restored store may have lost

By the tests: an agent that restarts after the store was restored rules out flows that its target holds, and callers are reset.

Cause: a missing 'served' entry proved that no process had served the target, and a final list of flows that it was complete. Both may be from before what the store lost.

Change: both entries carry the era in which they were written, and prove nothing in a later one; a missing entry proves nothing after the first era. Instead, a target's first heartbeat proves that no other process has served it.

--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -11,6 +11,10 @@
 	registerTimeout = 300 * time.Millisecond
 )
 
+// firstSequence is the sequence number of an incarnation's first heartbeat. No other process
+// of the agent can have served a target that sends it.
+const firstSequence = 1
+
 // maxHeartbeatDelay bounds the delay of a heartbeat.
 const maxHeartbeatDelay = time.Second
 
@@ -34,24 +38,25 @@
 type TargetDeregistered struct{ Instance string }
 
 // PreviousRecord is the record that an earlier process of the agent left in the store;
-// Found is false if there was none. A record that can't be read is Found with
-// incarnation 0.
+// Found is false if there was none. It is Incomplete if other incarnations may have been
+// served since: the record can't be read, or the store may have lost a later one.
 type PreviousRecord struct {
-	Found  bool
-	Record AgentRecord
+	Found      bool
+	Record     AgentRecord
+	Incomplete bool
 }
 
 // storedRecord is what the store holds of the agent's earlier processes.
 type storedRecord struct {
-	// known is set once the store was read, unreadable if its record can't be decoded.
-	known, unreadable bool
+	// known is set once the store was read, incomplete as in PreviousRecord.
+	known, incomplete bool
 	// incarnation is the target incarnation that was last served, 0 if none.
 	incarnation int64
 }
 
 // neverServed reports whether no earlier process can have served the incarnation.
 func (r storedRecord) neverServed(incarnation int64) bool {
-	return r.known && !r.unreadable && r.incarnation != incarnation
+	return r.known && !r.incomplete && r.incarnation != incarnation
 }
 
 // RecordStored reports that the record for a target incarnation is in the store.
@@ -143,7 +148,7 @@
 	t := &a.target
 	// All flows of a target that started while this process runs are known.
 	replaced := t.known
-	complete := replaced || t.complete || t.previous.neverServed(h.Incarnation)
+	complete := replaced || t.complete || h.Sequence == firstSequence || t.previous.neverServed(h.Incarnation)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		incarnation: h.Incarnation, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
@@ -168,7 +173,7 @@
 	if t.previous.known {
 		return
 	}
-	t.previous = storedRecord{known: true, unreadable: e.Found && e.Record.Incarnation == 0}
+	t.previous = storedRecord{known: true, incomplete: e.Incomplete}
 	if e.Found {
 		t.previous.incarnation = e.Record.Incarnation
 		t.storedIncarnation = e.Record.Incarnation
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -291,7 +291,7 @@
 func TestFinalFlowsAreRestoredOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
-	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}})
+	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}}, store.FirstEra)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -20,6 +20,29 @@
 	Incarnation int64          `json:"lifetime"`
 }
 
+// servedDocument is the stored form of the incarnation that an agent has served.
+type servedDocument struct {
+	recordDocument
+	// Era is that of the store when the document was written, 0 if it was written by an
+	// earlier version.
+	Era uint64 `json:"era,omitempty"`
+}
+
+func encodeServed(r *steering.AgentRecord, era uint64) ([]byte, error) {
+	return json.Marshal(servedDocument{recordDocument(*r), era})
+}
+
+// decodeServed decodes the served incarnation and the era in which it was written.
+func decodeServed(value []byte) (steering.AgentRecord, uint64, error) {
+	record, err := decodeRecord(value)
+	if err != nil {
+		return record, 0, err
+	}
+	var doc servedDocument
+	err = json.Unmarshal(value, &doc)
+	return record, max(doc.Era, store.FirstEra), err
+}
+
 var errIncomplete = errors.New("node or peer is missing")
 
 func encodeRecord(r *steering.AgentRecord) ([]byte, error) {
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -91,23 +91,32 @@
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
-		var record steering.AgentRecord
-		if found {
-			if record, err = decodeRecord(kv.Value); err != nil {
-				// Some incarnation was served, but it is unknown which.
-				r.warn("The agent's own record is malformed.", err)
-				record = steering.AgentRecord{}
-			}
-		}
+		previous := r.decodePrevious(kv, found)
 		r.markStoreUp()
 		if found {
 			r.saver.load(ctx)
 		}
-		r.notify(&steering.PreviousRecord{Found: found, Record: record})
+		r.notify(previous)
 		return
 	}
 }
 
+// decodePrevious decodes the served incarnation that an earlier process left. The entry is
+// incomplete if the store may have lost a later one: it was restored from a copy since the
+// entry was written, or since any would have been.
+func (r *registrar) decodePrevious(kv store.KeyValue, found bool) *steering.PreviousRecord {
+	if !found {
+		return &steering.PreviousRecord{Incomplete: r.store.Era() > store.FirstEra}
+	}
+	record, era, err := decodeServed(kv.Value)
+	if err != nil {
+		// Some incarnation was served, but it is unknown which.
+		r.warn("The agent's own record is malformed.", err)
+		return &steering.PreviousRecord{Found: true, Incomplete: true}
+	}
+	return &steering.PreviousRecord{Found: true, Record: record, Incomplete: era != kv.ModRevision.Era()}
+}
+
 // storeDesired writes the record, or deletes the stored one if none is desired. It
 // retries until it succeeds or the desired record changes.
 func (r *registrar) storeDesired(ctx context.Context) {
@@ -145,10 +154,14 @@
 	if err != nil {
 		return err
 	}
+	served, err := encodeServed(r.record, r.store.Era())
+	if err != nil {
+		return err
+	}
 	if err := r.ensureLease(ctx); err != nil {
 		return err
 	}
-	err = r.store.Put(ctx, store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.servedKey, Value: value})
+	err = r.store.Put(ctx, store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.servedKey, Value: served})
 	if err == nil && r.store.Era() > r.leaseEra {
 		err = errLeaseOfEarlierEra
 	}
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -169,17 +169,17 @@
 	}
 }
 
-// queryFlow returns the verdict on a flow of an agent that has got the events and then a
-// heartbeat of its target.
-func queryFlow(events []steering.Event, flow steering.Flow) steering.Verdict {
+// queryFlow returns the verdict on a flow of an agent that has got the events and then the
+// heartbeat of its target with a sequence number.
+func queryFlow(events []steering.Event, sequence int64) steering.Verdict {
 	agent := steering.NewAgent(steering.AgentIdentity{Service: "s", HeartbeatInterval: time.Second})
 	now := time.Unix(1000, 0)
 	for _, e := range events {
 		agent.Step(now, e)
 	}
-	agent.Step(now, &steering.Heartbeat{Instance: "t", Service: "s", Incarnation: exampleRecord.Incarnation, Sequence: 40})
+	agent.Step(now, &steering.Heartbeat{Instance: "t", Service: "s", Incarnation: exampleRecord.Incarnation, Sequence: sequence})
 	from := netip.MustParseAddrPort("10.0.0.2:7000")
-	effects := agent.Step(now, &steering.MessageReceived{From: from, Message: steering.Message{Kind: steering.MessageQuery, Flow: flow}})
+	effects := agent.Step(now, &steering.MessageReceived{From: from, Message: steering.Message{Kind: steering.MessageQuery, Flow: exampleFlow}})
 	return effects[0].Message.Verdict
 }
 
@@ -193,11 +193,39 @@
 	s.Restore(copied)
 	next := newRestoredAgent(s)
 	next.readPrevious(ctx)
-	if got := queryFlow(next.events, exampleFlow); got != steering.VerdictUnsure {
+	if got := queryFlow(next.events, 40); got != steering.VerdictUnsure {
 		t.Errorf("verdict is %v for a flow that the agent can't know", got)
 	}
 }
 
+// A target that starts after the store was restored has no entry either. Its first
+// heartbeat proves that no other process has served it.
+func TestFirstHeartbeatProvesThatNoProcessServedTheTarget(t *testing.T) {
+	s := serveStore(t)
+	s.Restore(s.Copy())
+	a := newRestoredAgent(s)
+	a.readPrevious(context.Background())
+	if got := queryFlow(a.events, 1); got != steering.VerdictAbsent {
+		t.Errorf("verdict is %v for a flow that the target can't hold", got)
+	}
+}
+
+// An entry that was written after the store was restored proves again that no process has
+// served another incarnation.
+func TestServedEntryOfThePresentEraIsComplete(t *testing.T) {
+	s := serveStore(t)
+	ctx := context.Background()
+	s.Restore(s.Copy())
+	first := newRestoredAgent(s)
+	first.register(ctx)
+	next := newRestoredAgent(s)
+	next.readPrevious(ctx)
+	previous, ok := next.events[len(next.events)-1].(*steering.PreviousRecord)
+	if !ok || !previous.Found || previous.Incomplete || previous.Record != exampleRecord {
+		t.Errorf("the next process gets %+v", next.events[len(next.events)-1])
+	}
+}
+
 // The final flows of an earlier process are back in the restored store, although a later
 // process has opened others since: they must not count as all flows of the target.
 func TestFinalFlowsOfALostTimeAreIncomplete(t *testing.T) {
@@ -215,7 +243,7 @@
 	s.Restore(copied)
 	third := newRestoredAgent(s)
 	third.readPrevious(ctx)
-	if got := queryFlow(third.events, exampleFlow); got != steering.VerdictUnsure {
+	if got := queryFlow(third.events, 40); got != steering.VerdictUnsure {
 		t.Errorf("verdict is %v for a flow that the agent can't know", got)
 	}
 }
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -23,10 +23,13 @@
 
 // savedDocument is the stored form of the saved flows.
 type savedDocument struct {
-	Incarnation int64           `json:"lifetime"`
-	Final       bool            `json:"final,omitempty"`
-	Agents      uint16          `json:"agents,omitempty"`
-	Flows       []savedFlowItem `json:"flows"`
+	Incarnation int64  `json:"lifetime"`
+	Final       bool   `json:"final,omitempty"`
+	Agents      uint16 `json:"agents,omitempty"`
+	// Era is that of the store when the document was written, 0 if it was written by an
+	// earlier version.
+	Era   uint64          `json:"era,omitempty"`
+	Flows []savedFlowItem `json:"flows"`
 }
 
 type savedFlowItem struct {
@@ -38,8 +41,8 @@
 	NonIdempotent bool `json:"u,omitempty"`
 }
 
-func encodeSaved(saved *steering.SavedFlows) ([]byte, error) {
-	doc := savedDocument{Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, Flows: make([]savedFlowItem, 0, len(saved.Flows))}
+func encodeSaved(saved *steering.SavedFlows, era uint64) ([]byte, error) {
+	doc := savedDocument{Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, Era: era, Flows: make([]savedFlowItem, 0, len(saved.Flows))}
 	for _, f := range saved.Flows {
 		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.HalfOpen, f.NonIdempotent})
 	}
@@ -48,12 +51,15 @@
 
 var errNotIPv4 = errors.New("a saved flow has an address that is not IPv4")
 
-func decodeSaved(value []byte) (*steering.SavedFlows, error) {
+// decodeSaved decodes the flows as read in an era of the store. Those of an earlier era
+// are not final: the store has lost what was written after them.
+func decodeSaved(value []byte, era uint64) (*steering.SavedFlows, error) {
 	var doc savedDocument
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return nil, err
 	}
-	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: doc.Final, Agents: doc.Agents}
+	final := doc.Final && max(doc.Era, store.FirstEra) == era
+	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: final, Agents: doc.Agents}
 	for _, f := range doc.Flows {
 		caller, callerOK := steering.EndpointOf(f.Caller)
 		address, addressOK := steering.EndpointOf(f.Address)
@@ -77,7 +83,7 @@
 	if !found {
 		return
 	}
-	flows, err := decodeSaved(kv.Value)
+	flows, err := decodeSaved(kv.Value, kv.ModRevision.Era())
 	if err != nil {
 		s.warn("The saved flows are malformed.", err)
 		return
@@ -112,7 +118,7 @@
 func (s *saver) forgetSaved() { s.saved = steering.SavedFlows{} }
 
 func (s *saver) write(ctx context.Context, flows *steering.SavedFlows, lease store.LeaseID) error {
-	value, err := encodeSaved(flows)
+	value, err := encodeSaved(flows, s.store.Era())
 	if err != nil {
 		return err
 	}
--- a/internal/direct/saver_test.go
+++ b/internal/direct/saver_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 func TestSavedFlowsRoundTrip(t *testing.T) {
@@ -17,11 +18,11 @@
 			Flow: steering.Flow{Caller: caller, Address: address}, Ack: 4_000_000_000, HalfOpen: true, NonIdempotent: true,
 		}},
 	}
-	value, err := encodeSaved(want)
+	value, err := encodeSaved(want, store.FirstEra)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeSaved(value)
+	got, err := decodeSaved(value, store.FirstEra)
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%s is decoded as %+v, error %v", value, got, err)
 	}
