--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -113,6 +113,7 @@
 
 func (b *Balancer) tick(now time.Time) {
 	b.refreshIfUnconfirmed(now)
+	b.releaseHeldDomains(now)
 	b.pingDueMembers(now)
 	b.advanceSearches(now)
 	b.offerQueued(now)
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -65,6 +65,8 @@
 
 // OperatorState is everything that operators have written to the store.
 type OperatorState struct {
+	// Era rises each time the store is restored from a copy.
+	Era uint64
 	// Revision is that of the last known change by operators.
 	Revision uint64
 	// VerifiedRevision is the store revision up to which no later change by operators
@@ -89,10 +91,11 @@
 type configSection struct {
 	state  OperatorState
 	loaded bool
+	held   heldDomains
 }
 
 // update applies a newer state and reports whether it differs.
-func (c *configSection) update(s OperatorState) bool {
+func (c *configSection) update(now time.Time, s OperatorState) bool {
 	if c.loaded && s.VerifiedRevision < c.state.VerifiedRevision {
 		return false
 	}
@@ -106,6 +109,10 @@
 	if current := c.state.Configuration; current != nil && (s.Configuration == nil || s.Configuration.Version < current.Version) {
 		s.Configuration = current
 	}
+	if c.loaded && s.Era > c.state.Era {
+		c.held.hold(now, c.state.DomainsOut)
+	}
+	s.DomainsOut = c.held.merge(now, s.DomainsOut)
 	c.state = s
 	c.loaded = s.Configuration != nil
 	return true
@@ -131,7 +138,7 @@
 // agents.
 func (b *Balancer) applyConfiguration(now time.Time, e *ConfigurationLoaded) {
 	previous := b.confirmation.knownAt
-	changed := b.config.update(e.State)
+	changed := b.config.update(now, e.State)
 	if e.State.VerifiedRevision >= b.config.state.VerifiedRevision {
 		b.confirmation.recordRead(e.ConfirmedAt)
 	}
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -16,6 +16,7 @@
 	"amaranthwheel.example/amaranthwheel/internal/obs"
 	"amaranthwheel.example/amaranthwheel/internal/process"
 	"amaranthwheel.example/amaranthwheel/internal/settings"
+	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 const (
@@ -142,7 +143,7 @@
 		for _, err := range errs {
 			b.warn("An operator entry is malformed.", err)
 		}
-		state.Revision = s.operatorRevision
+		state.Revision, state.Era = s.operatorRevision, store.Revision(s.operatorRevision).Era()
 		b.operatorState = state
 	}
 	b.operatorState.VerifiedRevision = s.revision
