Skip entries among the agents' records that no agent has written

But balancers listed records with port 0, IPv6 or multicast addresses, under the key of another node (and took an agent's address for it), and without a lease, which never go; a listed agent that does not reply keeps searches from ending. An error in the log quoted its whole input.

Change: a record must name the node of its key, be under a lease, and have a lifetime and a unicast IPv4 address with a port; the same for served entries. Log lines about malformed entries are bounded in number and length.

--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -140,18 +140,14 @@
 	b.checkEra()
 	if s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision == 0 {
 		state, errs := b.platform.DecodeOperatorState(s.pairs)
-		for _, err := range errs {
-			b.warn("An operator entry is malformed.", err)
-		}
+		b.warnMalformed("An operator entry is malformed.", errs)
 		state.Revision, state.Era = s.operatorRevision, store.Revision(s.operatorRevision).Era()
 		b.operatorState = state
 	}
 	b.operatorState.VerifiedRevision = s.revision
 	if s.agentRevision != b.members.Revision || b.members.VerifiedRevision == 0 {
 		records, errs := decodeRecords(b.platform.AgentPrefix, s.pairs)
-		for _, err := range errs {
-			b.warn("An agent's record is malformed.", err)
-		}
+		b.warnMalformed("An agent's record is malformed.", errs)
 		b.members = steering.MembersLoaded{Records: records, Revision: s.agentRevision}
 	}
 	b.members.VerifiedRevision = s.revision
@@ -159,6 +155,19 @@
 	b.handleEvent(&b.members)
 }
 
+// maxMalformedLines bounds the log lines about malformed entries of one snapshot.
+const maxMalformedLines = 5
+
+// warnMalformed logs the errors of malformed entries, the first few of them one by one.
+func (b *Balancer) warnMalformed(text string, errs []error) {
+	for _, err := range errs[:min(len(errs), maxMalformedLines)] {
+		b.warn(text, err)
+	}
+	if more := len(errs) - maxMalformedLines; more > 0 {
+		b.warn(text, fmt.Errorf("and %d more", more))
+	}
+}
+
 // checkEra reports that the store was restored from a copy.
 func (b *Balancer) checkEra() {
 	era := b.platform.Store.Era()
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -149,7 +149,7 @@
 
 func newRegistrar(s store.PollingStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	r := &registrar{
-		store: s, key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
+		store: s, node: "a", key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: func(e steering.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -188,7 +188,7 @@
 	if !found || err != nil {
 		t.Fatalf("the record is still missing: %v", err)
 	}
-	if got, err := decodeRecord(kv.Value); err != nil || got != exampleRecord {
+	if got, err := decodeRecord("a", kv.Value); err != nil || got != exampleRecord {
 		t.Errorf("record is %+v, error %v", got, err)
 	}
 }
@@ -313,8 +313,8 @@
 		t.Fatal(err)
 	}
 	records, errs := decodeRecords("op-agents/", []store.KeyValue{
-		{Key: "op-agents/a", Value: good}, {Key: "op-agents/b", Value: []byte("{")},
-		{Key: "op-agents/c", Value: []byte(`{"node":"c"}`)}, {Key: "op/config", Value: []byte("{}")},
+		{Key: "op-agents/a", Value: good, Lease: 1}, {Key: "op-agents/b", Value: []byte("{"), Lease: 1},
+		{Key: "op-agents/c", Value: []byte(`{"node":"c"}`), Lease: 1}, {Key: "op/config", Value: []byte("{}")},
 	})
 	if len(records) != 1 || records[0] != exampleRecord || len(errs) != 2 {
 		t.Errorf("records %+v, errors %v", records, errs)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -282,8 +282,12 @@
 	_ = level.Info(n.logger).Log(append([]any{"msg", text}, fields...)...)
 }
 
+// maxErrorLength bounds the length of a logged error, in bytes: some quote their input.
+const maxErrorLength = 300
+
 func (n *node) warn(text string, err error) {
-	_ = level.Warn(n.logger).Log("msg", text, "err", err)
+	message := err.Error()
+	_ = level.Warn(n.logger).Log("msg", text, "err", message[:min(len(message), maxErrorLength)])
 }
 
 // close stops the goroutines and closes the servers and the socket to peers.
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -32,9 +32,10 @@
 	return json.Marshal(servedDocument{recordDocument(*r), era})
 }
 
-// decodeServed decodes the served incarnation and the era in which it was written.
-func decodeServed(value []byte) (steering.AgentRecord, uint64, error) {
-	record, err := decodeRecord(value)
+// decodeServed decodes the incarnation that a node has served and the era in which that was
+// written.
+func decodeServed(node string, value []byte) (steering.AgentRecord, uint64, error) {
+	record, err := decodeRecord(node, value)
 	if err != nil {
 		return record, 0, err
 	}
@@ -43,33 +44,55 @@
 	return record, max(doc.Era, store.FirstEra), err
 }
 
-var errIncomplete = errors.New("node or peer is missing")
+var (
+	errOtherNode     = errors.New("it names another node than its key")
+	errNoIncarnation = errors.New("the lifetime is missing")
+	errPeer          = errors.New("the peer is not a unicast IPv4 address with a port")
+	errNoLease       = errors.New("it has no lease")
+)
 
 func encodeRecord(r *steering.AgentRecord) ([]byte, error) {
 	return json.Marshal(recordDocument(*r))
 }
 
-func decodeRecord(value []byte) (steering.AgentRecord, error) {
+// decodeRecord decodes the record of a node. Another writer may have left anything.
+func decodeRecord(node string, value []byte) (steering.AgentRecord, error) {
 	var doc recordDocument
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return steering.AgentRecord{}, err
 	}
-	if doc.Node == "" || !doc.Peer.IsValid() {
-		return steering.AgentRecord{}, errIncomplete
+	switch {
+	case doc.Node != node:
+		return steering.AgentRecord{}, errOtherNode
+	case doc.Incarnation <= 0:
+		return steering.AgentRecord{}, errNoIncarnation
+	case !isPeer(doc.Peer):
+		return steering.AgentRecord{}, errPeer
 	}
 	return steering.AgentRecord(doc), nil
 }
 
+// isPeer reports whether an agent can have the address.
+func isPeer(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return ip.Is4() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
 // decodeRecords decodes the agents' records, whose keys start with the prefix.
-// It skips malformed ones and returns their errors.
+// It skips malformed ones and returns their errors. Agents write theirs under leases; an
+// entry without one is another writer's, and would stay for ever.
 func decodeRecords(prefix string, items []store.KeyValue) ([]steering.AgentRecord, []error) {
 	records := make([]steering.AgentRecord, 0, len(items))
 	var errs []error
 	for _, kv := range items {
-		if !strings.HasPrefix(kv.Key, prefix) {
+		node, ok := strings.CutPrefix(kv.Key, prefix)
+		if !ok {
 			continue
 		}
-		r, err := decodeRecord(kv.Value)
+		r, err := decodeRecord(node, kv.Value)
+		if err == nil && kv.Lease == 0 {
+			err = errNoLease
+		}
 		if err != nil {
 			errs = append(errs, fmt.Errorf("record %s: %w", kv.Key, err))
 			continue
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -19,6 +19,7 @@
 // registrar keeps an agent registered: it maintains the agent's record in the store.
 type registrar struct {
 	store store.PollingStore
+	node  string
 	key   string
 	// servedKey holds, without a lease, the record as last written. The record
 	// itself may have lapsed, so only this key proves that no other process has
@@ -108,7 +109,7 @@
 	if !found {
 		return &steering.PreviousRecord{Incomplete: r.store.Era() > store.FirstEra}
 	}
-	record, era, err := decodeServed(kv.Value)
+	record, era, err := decodeServed(r.node, kv.Value)
 	if err != nil {
 		// Some incarnation was served, but it is unknown which.
 		r.warn("The agent's own record is malformed.", err)
@@ -204,7 +205,7 @@
 
 // isRecord reports whether a value is the encoded record.
 func (r *registrar) isRecord(value []byte) bool {
-	record, err := decodeRecord(value)
+	record, err := decodeRecord(r.node, value)
 	return err == nil && record == *r.record
 }
 
