--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -203,10 +203,11 @@
 	}
 }
 
-// isRecord reports whether a value is the encoded record.
+// isRecord reports whether a value is the record of the same target. The peer's address may
+// have been translated on its way.
 func (r *registrar) isRecord(value []byte) bool {
 	record, err := decodeRecord(r.node, value)
-	return err == nil && record == *r.record
+	return err == nil && record.Incarnation == r.record.Incarnation && record.Service == r.record.Service
 }
 
 // saveFlows tries once to save the flows, under the record's lease.
