--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -140,10 +140,13 @@
 	})
 }
 
-// pollResult is the result of a poll: the changes, and the revision to go on from.
+// pollResult is the result of a poll.
 type pollResult struct {
-	events      []store.Event
-	next        store.Revision
+	events []store.Event
+	// next is the revision to go on from.
+	next store.Revision
+	// confirmedAt is when the poll began. The store may have responded long before the
+	// response is read, if the host was suspended.
 	confirmedAt time.Time
 	err         error
 }
@@ -158,11 +161,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	waiting, checks := make(chan pollResult, 1), make(chan pollResult, maxChecks)
-	go func() {
-		r := w.pollOnce(ctx, after, w.pollWait())
-		r.confirmedAt = time.Now() // the store responds when the wait ends
-		waiting <- r
-	}()
+	go func() { waiting <- w.pollOnce(ctx, after, w.pollWait()) }()
 	inProgress := 0
 	var confirmedAt time.Time // by a check
 	for {
