--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -106,7 +106,7 @@
 		return Result{}, err
 	}
 	r.sleep(settle)
-	r.copied = r.store.Copy()
+	r.copyStore()
 	if o.Sabotage != "" {
 		r.sabotage(o.Sabotage)
 	}
