--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -145,6 +145,9 @@
 	return b.config.state.Configuration.Version
 }
 
+// ApplyTimeout returns the time in which a change by operators has to be in force.
+func (b *Balancer) ApplyTimeout() time.Duration { return b.identity.ApplyTimeout }
+
 // ConfirmedAge returns how long ago the store confirmed the state in force to any
 // balancer, and false if it never did.
 func (b *Balancer) ConfirmedAge(now time.Time) (age time.Duration, confirmed bool) {
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -83,7 +83,7 @@
 	b.wg.Go(func() { w.run(b.ctx) })
 	b.wg.Go(func() { b.runEvery(gaugeInterval, b.updateGauges) })
 	b.wg.Go(func() { readDatagrams(b.segmentConn, b.handleCallerSegment) })
-	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments)
+	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments, "apply_timeout", b.steering.ApplyTimeout())
 	return nil
 }
 
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -81,8 +81,8 @@
 	maxDirectStopTimeout     = 5 * time.Minute
 
 	defaultApplyTimeout = 3 * time.Second
-	minApplyTimeout     = 500 * time.Millisecond
-	maxApplyTimeout     = time.Minute
+	minApplyTimeout     = 100 * time.Millisecond
+	maxApplyTimeout     = time.Hour
 
 	defaultPollingTimeout = 1500 * time.Millisecond
 	defaultPollWait       = 20 * time.Second
