--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,6 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"slices"
+	"syscall"
 	"time"
 )
 
@@ -29,26 +32,33 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- cases[os.Args[1]](r) }()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case err = <-done:
+	case s := <-interrupted:
+		err = fmt.Errorf("%w: %v", errSetup, s)
 	case <-time.After(runLimit):
 		err = fmt.Errorf("%w: time limit", errSetup)
 	}
 	r.mu.Lock()
-	broken := append([]string(nil), r.broken...)
+	broken, other := slices.Clone(r.broken), slices.Clone(r.other)
 	r.mu.Unlock()
 	code := 0
 	switch {
 	case len(broken) > 0:
 		code = 1
-	case err != nil:
+	case err != nil, len(other) > 0:
 		code = 2
 	}
-	r.record("result: exit %d, %d times broken, error %v", code, len(broken), err)
+	r.record("result: exit %d, %d times broken, %d other findings, error %v", code, len(broken), len(other), err)
 	r.close()
 	for _, b := range broken {
 		fmt.Println("BROKEN", b)
 	}
+	for _, o := range other {
+		fmt.Println("OTHER", o)
+	}
 	if err != nil {
 		fmt.Println(err)
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -60,17 +61,33 @@
 	router  *router
 	clients *clients
 
-	mu        sync.Mutex
-	out       *bufio.Writer
-	file      *os.File
-	broken    []string
-	runs      map[string]int
-	balancers []*host
-	agents    []*host
+	mu   sync.Mutex
+	out  *bufio.Writer
+	file *os.File
+	// broken lists the breaks of the claimed rule, other what else went wrong.
+	broken, other []string
+	runs          map[string]int
+	balancers     []*host
+	agents        []*host
 	// coreAt is when the store was last disturbed.
 	coreAt time.Time
+
+	processMu sync.Mutex
+	// closing is set once no more processes may start; processes are all that were started.
+	closing   bool
+	processes []startedProcess
+}
+
+// startedProcess is a process that the rig started.
+type startedProcess struct {
+	host  *host
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
+// claimedRule is the rule of all cases.
+const claimedRule = "FLOW"
+
 func newRig(recordPath string, trouble bool) (*rig, error) {
 	r := &rig{trouble: trouble, start: time.Now(), runs: map[string]int{}}
 	var err error
@@ -136,11 +153,16 @@
 	fmt.Fprintf(r.out, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
 }
 
-// violate records a broken rule.
+// violate records a broken rule. Only the claimed one decides the result.
 func (r *rig) violate(rule, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	text := rule + ": " + fmt.Sprintf(format, args...)
+	if rule != claimedRule {
+		r.other = append(r.other, text)
+		r.recordLocked("OTHER %s", text)
+		return
+	}
 	r.broken = append(r.broken, text)
 	r.recordLocked("BROKEN %s", text)
 }
@@ -212,6 +234,8 @@
 	return b.String()
 }
 
+var errClosing = errors.New("the rig is closing")
+
 // startProcess starts the system's process of a machine with the deploy file's command.
 func (r *rig) startProcess(h *host) error {
 	path := filepath.Join(r.folder, h.name+".toml")
@@ -225,10 +249,16 @@
 	cmd := exec.Command("target/amaranthwheel", "direct", h.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AMARANTHWHEEL_NODE_FILE=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
+	r.processMu.Lock()
+	defer r.processMu.Unlock()
+	if r.closing {
+		return errClosing
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
+	r.processes = append(r.processes, startedProcess{h, cmd, ended})
 	h.mu.Lock()
 	h.process, h.ended, h.stopping, h.log = cmd, ended, false, log
 	h.disturbedAt = time.Now()
@@ -283,16 +313,18 @@
 
 // close ends all processes that the rig started.
 func (r *rig) close() {
-	for _, h := range r.hostList() {
-		h.mu.Lock()
-		process, ended := h.process, h.ended
-		h.stopping = true
-		h.mu.Unlock()
-		if process == nil {
-			continue
-		}
-		_ = process.Process.Kill()
-		<-ended
+	r.processMu.Lock()
+	r.closing = true
+	processes := slices.Clone(r.processes)
+	r.processMu.Unlock()
+	for _, p := range processes {
+		p.host.mu.Lock()
+		p.host.stopping = true
+		p.host.mu.Unlock()
+		_ = p.cmd.Process.Kill() // fails only if it has ended
+	}
+	for _, p := range processes {
+		<-p.ended
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
