Log why an agent rules flows out

The agent answers that a flow is absent once it knows all flows of its target.

One line a lifetime of the target names the proof, one each what the entry of the earlier process and its saved flows say. No decision changes.

--- a/internal/core/steering/absence.go
+++ b/internal/core/steering/absence.go
@@ -39,8 +39,9 @@
 	if !e.Refused || t.known || t.absent || a.flows.anyResponded() {
 		return
 	}
-	t.absent, t.complete, t.savedFlows = true, true, nil
+	t.absent, t.savedFlows = true, nil
 	a.report(Report{Text: "No target runs on the host.", Node: a.identity.Node, Age: now.Sub(a.startedAt)})
+	a.markComplete(completeAfterAbsence)
 	if t.previous.incarnation != 0 {
 		a.emit(Effect{Kind: EffectUnregister}) // an earlier process may have left a record
 	}
--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -249,7 +249,7 @@
 	if _, ok := a.flows.returnedAt[f]; ok {
 		return VerdictTried
 	}
-	if a.target.complete {
+	if a.target.complete != incomplete {
 		return VerdictAbsent
 	}
 	return VerdictUnsure
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -51,7 +51,7 @@
 		// No target is known yet: the flows are as the previous process saved them.
 		return *a.target.savedFlows
 	}
-	out := SavedFlows{Incarnation: a.target.incarnation, Final: a.stopping && a.target.complete, Agents: a.balancers.agentCount}
+	out := SavedFlows{Incarnation: a.target.incarnation, Final: a.stopping && a.target.complete != incomplete, Agents: a.balancers.agentCount}
 	for f, local := range a.flows.byFlow {
 		if out.Final || local.established && !local.closed {
 			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: local.callerAck, HalfOpen: !local.established, NonIdempotent: local.nonIdempotent})
@@ -104,9 +104,10 @@
 		return
 	}
 	a.target.savedFlows = s
+	a.report(Report{Text: "Saved flows were read.", Node: a.identity.Node, Why: savedState(s), Count: len(s.Flows), Incarnation: s.Incarnation})
 	if !a.target.known {
 		a.flows.addSaved(now, s.Flows)
-		a.target.complete = s.Final
+		a.markHandedOver(s)
 	}
 	a.applySavedFlows(now)
 }
@@ -122,12 +123,27 @@
 	switch {
 	case s.Incarnation == a.target.incarnation:
 		a.flows.addSaved(now, s.Flows)
-		a.target.complete = a.target.complete || s.Final
+		a.markHandedOver(s)
 	case s.Incarnation < a.target.incarnation:
 		a.resetFlows(a.flows.removeSaved(s.Flows))
 	}
 }
 
+// savedState describes saved flows for log lines.
+func savedState(s *SavedFlows) string {
+	if s.Final {
+		return "all flows"
+	}
+	return "open flows"
+}
+
+// markHandedOver records that the saved flows are all flows of the target, if they are.
+func (a *Agent) markHandedOver(s *SavedFlows) {
+	if s.Final {
+		a.markComplete(completeByHandOver)
+	}
+}
+
 // resetFlows resets flows that have ended with their target.
 func (a *Agent) resetFlows(flows []SavedFlow) {
 	if len(flows) > 0 {
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -92,9 +92,8 @@
 	// savedFlows is the flows that an earlier process of this agent saved, until they
 	// are applied.
 	savedFlows *SavedFlows
-	// complete reports that the agent has seen every segment of the target's
-	// incarnation.
-	complete bool
+	// complete is why the agent knows all flows of the target's incarnation, if it does.
+	complete completeness
 	// absent reports that no target runs: see handleProbed. lastProbe is when the
 	// target's address was last probed.
 	absent    bool
@@ -146,14 +145,14 @@
 // flows yet.
 func (a *Agent) startIncarnation(now time.Time, h *Heartbeat) {
 	t := &a.target
-	// All flows of a target that started while this process runs are known.
 	replaced := t.known
-	complete := replaced || t.complete || h.Sequence == firstSequence || t.previous.neverServed(h.Incarnation)
+	complete := t.completenessOf(h)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		incarnation: h.Incarnation, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
-		storedIncarnation: t.storedIncarnation, writtenIncarnation: t.writtenIncarnation, previous: t.previous, complete: complete, savedFlows: t.savedFlows,
+		storedIncarnation: t.storedIncarnation, writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows,
 	}
+	a.markComplete(complete)
 	if replaced {
 		// The sequence number bounds the age of the target's process.
 		age := time.Duration(h.Sequence)*a.identity.HeartbeatInterval + maxHeartbeatDelay
@@ -167,6 +166,22 @@
 	a.registerRecord()
 }
 
+// completenessOf returns why the agent knows all flows of an incarnation from its heartbeat
+// that is the first at this process, if it does.
+func (t *targetSection) completenessOf(h *Heartbeat) completeness {
+	switch {
+	case t.known:
+		return completeAsReplacement
+	case t.complete != incomplete:
+		return t.complete
+	case h.Sequence == firstSequence:
+		return completeFromFirstHeartbeat
+	case t.previous.neverServed(h.Incarnation):
+		return completeAsUnserved
+	}
+	return incomplete
+}
+
 // handlePreviousRecord records which incarnation an earlier process served.
 func (a *Agent) handlePreviousRecord(now time.Time, e *PreviousRecord) {
 	t := &a.target
@@ -178,13 +193,27 @@
 		t.previous.incarnation = e.Record.Incarnation
 		t.storedIncarnation = e.Record.Incarnation
 	}
+	a.report(Report{Text: "Record of the earlier process is known.", Node: a.identity.Node, Why: recordState(e), Incarnation: e.Record.Incarnation})
 	if !t.known {
 		return
 	}
-	t.complete = t.complete || t.previous.neverServed(t.incarnation)
+	if t.previous.neverServed(t.incarnation) {
+		a.markComplete(completeAsUnserved)
+	}
 	a.registerRecord()
 }
 
+// recordState describes an earlier process's record for log lines.
+func recordState(e *PreviousRecord) string {
+	switch {
+	case e.Incomplete:
+		return "incomplete"
+	case e.Found:
+		return "found"
+	}
+	return "none"
+}
+
 // registerRecord requests that the record of the current incarnation is written, once
 // the previous record is known.
 func (a *Agent) registerRecord() {
