--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -680,7 +680,7 @@
 	if a.core.TargetEnded(w.now) {
 		delete(w.records, a.name)
 	} else {
-		w.saved[a.name] = a.core.SnapshotFlows()
+		w.saveFlows(a)
 	}
 	a.up = false
 }
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -9,6 +9,12 @@
 	// registerTimeout is how long an agent waits for its record to be written before it
 	// admits flows without one: a few calls to a healthy store.
 	registerTimeout = 300 * time.Millisecond
+	// unrecordedSequence is the sequence number that a target's heartbeats must have reached
+	// before an agent admits flows whose record could not be written. A later process that
+	// first gets a heartbeat up to this number knows that no process has served the target
+	// without a record. After a loss of power, up to three heartbeats are sent before the
+	// agent listens.
+	unrecordedSequence = 3
 )
 
 // firstSequence is the sequence number of an incarnation's first heartbeat. No other process
@@ -54,9 +60,11 @@
 	incarnation int64
 }
 
-// neverServed reports whether no earlier process can have served the incarnation.
-func (r storedRecord) neverServed(incarnation int64) bool {
-	return r.known && !r.incomplete && r.incarnation != incarnation
+// neverServed reports whether no earlier process can have served the incarnation whose
+// first heartbeat at this process had a sequence number: the record is of another one, and
+// none was served without a record.
+func (r storedRecord) neverServed(incarnation, firstSequence int64) bool {
+	return r.known && !r.incomplete && r.incarnation != incarnation && firstSequence <= unrecordedSequence
 }
 
 // RecordStored reports that the record for a target incarnation is in the store.
@@ -69,14 +77,16 @@
 
 // targetSection holds the state of the target beside the agent.
 type targetSection struct {
-	known             bool
-	deregistered      bool
-	draining          bool
-	instance          string
-	service           ServiceID
-	name              string
-	incarnation       int64
-	sequence          int64
+	known        bool
+	deregistered bool
+	draining     bool
+	instance     string
+	service      ServiceID
+	name         string
+	incarnation  int64
+	sequence     int64
+	// firstSequence is that of the incarnation's first heartbeat at this process.
+	firstSequence     int64
 	slots             int
 	firstSeen         time.Time
 	lastHeartbeat     time.Time
@@ -106,7 +116,7 @@
 	if !t.known || t.deregistered || now.Sub(t.lastHeartbeat) > heartbeatTimeoutIntervals*t.heartbeatInterval {
 		return false
 	}
-	return t.storedIncarnation == t.incarnation || now.Sub(t.firstSeen) > registerTimeout
+	return t.storedIncarnation == t.incarnation || t.sequence >= unrecordedSequence && now.Sub(t.firstSeen) > registerTimeout
 }
 
 // isCold reports whether the target is in cold start.
@@ -149,7 +159,7 @@
 	complete := t.completenessOf(h)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
-		incarnation: h.Incarnation, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
+		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
 		storedIncarnation: t.storedIncarnation, writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows,
 	}
 	a.markComplete(complete)
@@ -176,7 +186,7 @@
 		return t.complete
 	case h.Sequence == firstSequence:
 		return completeFromFirstHeartbeat
-	case t.previous.neverServed(h.Incarnation):
+	case t.previous.neverServed(h.Incarnation, h.Sequence):
 		return completeAsUnserved
 	}
 	return incomplete
@@ -197,7 +207,7 @@
 	if !t.known {
 		return
 	}
-	if t.previous.neverServed(t.incarnation) {
+	if t.previous.neverServed(t.incarnation, t.firstSequence) {
 		a.markComplete(completeAsUnserved)
 	}
 	a.registerRecord()
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -21,10 +21,12 @@
 	attemptTimeout    = 1400 * time.Millisecond
 	misdirectionLimit = 3
 	// applyTimeout is the time in which a change has to be in force.
-	applyTimeout  = 3 * time.Second
-	serviceName   = "desk"
-	targetSlots   = 5
-	responseBytes = 2000
+	applyTimeout = 3 * time.Second
+	// storeRetryInterval is the interval at which agents repeat calls to the store.
+	storeRetryInterval = 200 * time.Millisecond
+	serviceName        = "desk"
+	targetSlots        = 5
+	responseBytes      = 2000
 	// killGracePeriod is how long misdirected segments are not counted against a host
 	// after its process was killed, as on the platform.
 	killGracePeriod = 4 * time.Second
@@ -57,6 +59,9 @@
 	port     uint16
 	// storeDown makes agents' store operations fail silently.
 	storeDown bool
+	// storeUnreachable makes all reads and writes of agents fail. They repeat the reads at
+	// their start and the writes of their records.
+	storeUnreachable bool
 	// applyTimeout is the time in which balancers have to put a change into force.
 	applyTimeout time.Duration
 	// storeSilent makes the store leave the balancers' reads unanswered.
@@ -268,6 +273,18 @@
 	a.up = true
 	a.incarnation++
 	w.tickAgent(a, a.incarnation)
+	w.readPrevious(a, a.incarnation)
+}
+
+// readPrevious passes what earlier processes of an agent have left in the store to it.
+func (w *world) readPrevious(a *agentNode, incarnation int) {
+	if !a.up || a.incarnation != incarnation {
+		return
+	}
+	if w.storeUnreachable {
+		w.schedule(storeRetryInterval, func() { w.readPrevious(a, incarnation) })
+		return
+	}
 	r, found := w.served[a.name]
 	if s, ok := w.saved[a.name]; ok {
 		used := s
@@ -282,12 +299,19 @@
 	w.schedule(500*time.Millisecond, func() {
 		if a.up && a.incarnation == incarnation {
 			w.stepAgent(a, &steering.Tick{})
-			w.saved[a.name] = a.core.SnapshotFlows()
+			w.saveFlows(a)
 			w.tickAgent(a, incarnation)
 		}
 	})
 }
 
+// saveFlows saves the flows of an agent in the store.
+func (w *world) saveFlows(a *agentNode) {
+	if !w.storeUnreachable {
+		w.saved[a.name] = a.core.SnapshotFlows()
+	}
+}
+
 // startTarget starts a target process without flows.
 func (w *world) startTarget(a *agentNode) {
 	a.target = &target{up: true, incarnation: w.now.UnixMilli(), flows: make(map[steering.Flow]*targetFlow)}
@@ -342,12 +366,13 @@
 		case steering.EffectRespond:
 			w.deliverToCaller(effect.Segment, a)
 		case steering.EffectRegister:
-			w.schedule(hopDelay, func() { w.register(a, effect.Record) })
+			incarnation := a.incarnation
+			w.schedule(hopDelay, func() { w.register(a, incarnation, effect.Record) })
 		case steering.EffectVerify:
 			a.verifications++
 			w.schedule(hopDelay, func() {
 				if _, ok := w.records[a.name]; !ok && a.up && !w.storeDown {
-					w.register(a, a.core.Record())
+					w.register(a, a.incarnation, a.core.Record())
 				}
 			})
 		case steering.EffectUnregister:
@@ -372,8 +397,16 @@
 	}
 }
 
-// register writes an agent's record to the store.
-func (w *world) register(a *agentNode, r steering.AgentRecord) {
+// register writes the record of an agent's process to the store.
+func (w *world) register(a *agentNode, incarnation int, r steering.AgentRecord) {
+	if w.storeUnreachable {
+		w.schedule(storeRetryInterval, func() {
+			if a.up && a.incarnation == incarnation {
+				w.register(a, incarnation, r)
+			}
+		})
+		return
+	}
 	w.records[a.name], w.served[a.name] = r, r
 	w.notifyStoreChange()
 	if a.up {
