Don't take a target that follows a late heartbeat of an older one for complete

Cause: a target that replaced one that the process knew counted as started beside this process. PROTOCOL says that a late check-in of an earlier lifetime may come; if it is the first that a new process gets, the present target replaces it, though an earlier process has served it.

Evidence: TestTargetAfterADelayedHeartbeatOfAnEarlierOneIsNotComplete fails before (verdict absent, want unsure).

Why this works: the number of a heartbeat bounds its target's age; only a target that is younger than the process started beside it. TestTargetThatStartedBesideARunningAgentIsComplete holds the other side. A hand-over of another lifetime proves nothing of this one either.

--- a/internal/core/steering/completeness.go
+++ b/internal/core/steering/completeness.go
@@ -11,7 +11,8 @@
 	incomplete completeness = iota
 	// completeFromFirstHeartbeat means that the agent got the incarnation's first heartbeat.
 	completeFromFirstHeartbeat
-	// completeAsReplacement means that the incarnation replaced one that this process knew.
+	// completeAsReplacement means that the incarnation replaced one that this process knew,
+	// and started while it ran.
 	completeAsReplacement
 	// completeAsUnserved means that no earlier process has served the incarnation,
 	// according to the store.
--- a/internal/core/steering/completeness_test.go
+++ b/internal/core/steering/completeness_test.go
@@ -116,3 +116,31 @@
 	}
 	t.Fatalf("no flow was opened at %s", a.name)
 }
+
+// An agent restarts beside a target that an earlier process has served. A delayed heartbeat of
+// the target before comes first, then one of the present target: that it replaces the other one
+// does not prove that it started while this process ran.
+func TestTargetAfterADelayedHeartbeatOfAnEarlierOneIsNotComplete(t *testing.T) {
+	a := newRestartedAgent(recordOf(currentIncarnation))
+	a.sendHeartbeat(endedIncarnation, 90)
+	a.advance(heartbeatInterval)
+	a.sendHeartbeat(currentIncarnation, 40)
+	if got := a.verdictOn(1); got != steering.VerdictUnsure {
+		t.Errorf("verdict %s on a flow that an earlier process may have opened, want unsure", got)
+	}
+}
+
+// A target restarts beside a running agent, whose first heartbeats from it are lost. The agent
+// knows all of its flows.
+func TestTargetThatStartedBesideARunningAgentIsComplete(t *testing.T) {
+	a := newRestartedAgent(recordOf(endedIncarnation))
+	for n := range int64(20) {
+		a.sendHeartbeat(endedIncarnation, n+40)
+		a.advance(heartbeatInterval)
+	}
+	a.advance(6 * heartbeatInterval)
+	a.sendHeartbeat(currentIncarnation, 5)
+	if got := a.verdictOn(1); got != steering.VerdictAbsent {
+		t.Errorf("verdict %s on a flow that the target can't hold, want absent", got)
+	}
+}
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -156,7 +156,7 @@
 func (a *Agent) startIncarnation(now time.Time, h *Heartbeat) {
 	t := &a.target
 	replaced := t.known
-	complete := t.completenessOf(h)
+	complete := a.completenessOf(now, h)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
@@ -164,9 +164,7 @@
 	}
 	a.markComplete(complete)
 	if replaced {
-		// The sequence number bounds the age of the target's process.
-		age := time.Duration(h.Sequence)*a.identity.HeartbeatInterval + maxHeartbeatDelay
-		a.resetFlows(a.flows.removeInactive(now.Add(-age)))
+		a.resetFlows(a.flows.removeInactive(now.Add(-a.maxTargetAge(h))))
 	}
 	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Incarnation: h.Incarnation})
 	if h.Service != a.identity.Service {
@@ -176,13 +174,20 @@
 	a.registerRecord()
 }
 
+// maxTargetAge bounds the age of the process of the target that sent a heartbeat, by the
+// heartbeat's sequence number.
+func (a *Agent) maxTargetAge(h *Heartbeat) time.Duration {
+	return time.Duration(h.Sequence)*a.identity.HeartbeatInterval + maxHeartbeatDelay
+}
+
 // completenessOf returns why the agent knows all flows of an incarnation from its heartbeat
 // that is the first at this process, if it does.
-func (t *targetSection) completenessOf(h *Heartbeat) completeness {
+func (a *Agent) completenessOf(now time.Time, h *Heartbeat) completeness {
+	t := &a.target
 	switch {
-	case t.known:
+	case t.known && now.Sub(a.startedAt) >= a.maxTargetAge(h):
 		return completeAsReplacement
-	case t.complete != incomplete:
+	case t.absent:
 		return t.complete
 	case h.Sequence == firstSequence:
 		return completeFromFirstHeartbeat
