--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -53,12 +53,12 @@
 	}
 	a.core, a.performRoleEffect = a.steering, a.performAgentEffect
 	a.registrar = &registrar{
-		store: p.Store, node: string(s.Node), key: p.AgentPrefix + string(s.Node), servedKey: p.ServedIncarnationPrefix + string(s.Node), leaseTTL: s.Store.Lease,
+		store: p.Store, node: string(s.Node), key: p.AgentPrefix + string(s.Node), served: entry{key: p.ServedIncarnationPrefix + string(s.Node)}, leaseTTL: s.Store.Lease,
 		desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: a.handleEvent, warn: a.warn, info: a.info,
 	}
 	a.registrar.saver = &saver{
-		store: p.Store, key: p.SavedFlowPrefix + string(s.Node),
+		store: p.Store, entry: entry{key: p.SavedFlowPrefix + string(s.Node)},
 		currentFlows: a.currentFlows, restore: a.handleEvent, warn: a.warn,
 	}
 	return a
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -149,7 +149,7 @@
 
 func newRegistrar(s store.PollingStore, events *[]steering.Event, mu *sync.Mutex) *registrar {
 	r := &registrar{
-		store: s, node: "a", key: "op-agents/a", servedKey: "served/a", leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
+		store: s, node: "a", key: "op-agents/a", served: entry{key: "served/a"}, leaseTTL: time.Minute, desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
 		notify: func(e steering.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -158,7 +158,7 @@
 		warn: func(string, error) {}, info: func(string, ...any) {},
 	}
 	r.saver = &saver{
-		store: s, key: "saved-flows/a", currentFlows: func() steering.SavedFlows { return steering.SavedFlows{Incarnation: 7} },
+		store: s, entry: entry{key: "saved-flows/a"}, currentFlows: func() steering.SavedFlows { return steering.SavedFlows{Incarnation: 7} },
 		restore: r.notify, warn: r.warn,
 	}
 	return r
@@ -291,7 +291,12 @@
 func TestFinalFlowsAreRestoredOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
-	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}}, store.FirstEra)
+	served, err := encodeServed(&exampleRecord, store.FirstEra)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.set("served/a", string(served), 0)
+	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}}, s.revision)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -299,7 +304,7 @@
 	for _, final := range []bool{true, false} {
 		var mu sync.Mutex
 		var events []steering.Event
-		newRegistrar(s, &events, &mu).saver.load(context.Background())
+		newRegistrar(s, &events, &mu).readPrevious(context.Background())
 		got := events[0].(*steering.SavedFlows)
 		if got.Final != final || len(got.Flows) != 1 || got.Flows[0] != (steering.SavedFlow{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}) {
 			t.Errorf("restored %+v, want final %v", got, final)
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -175,28 +175,40 @@
 	return out, f.revision, nil
 }
 
-func (f *fakeStore) Put(_ context.Context, pairs ...store.Put) error {
-	f.mu.Lock()
-	err := f.countCall()
-	lapsed := false
-	for _, p := range pairs {
-		lapsed = lapsed || p.Lease != 0 && p.Lease != f.lease
-	}
-	f.mu.Unlock()
-	switch {
-	case err != nil:
-		return err
-	case lapsed:
-		return store.ErrLeaseLapsed
+func (f *fakeStore) Write(_ context.Context, t store.Txn) (store.Revision, error) {
+	if err := f.checkWrite(t); err != nil {
+		return 0, err
 	}
-	for _, p := range pairs {
-		f.set(p.Key, string(p.Value), p.Lease)
+	for _, op := range t.Ops {
+		switch op := op.(type) {
+		case store.Put:
+			f.set(op.Key, string(op.Value), op.Lease)
+		case store.Delete:
+			f.remove(op.Key)
+		}
 	}
-	return nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, nil
 }
 
-func (f *fakeStore) Delete(_ context.Context, key string) error {
-	f.remove(key)
+// checkWrite returns why the store refuses a transaction, if it does.
+func (f *fakeStore) checkWrite(t store.Txn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.countCall(); err != nil {
+		return err
+	}
+	for _, c := range t.Compares {
+		if f.pairs[c.Key].ModRevision != c.ModRevision {
+			return store.ErrCompareFailed
+		}
+	}
+	for _, op := range t.Ops {
+		if put, ok := op.(store.Put); ok && put.Lease != 0 && put.Lease != f.lease {
+			return store.ErrLeaseLapsed
+		}
+	}
 	return nil
 }
 
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -21,11 +21,12 @@
 	store store.PollingStore
 	node  string
 	key   string
-	// servedKey holds, without a lease, the record as last written. The record
-	// itself may have lapsed, so only this key proves that no other process has
-	// served an incarnation of the target.
-	servedKey string
-	leaseTTL  time.Duration
+	// served holds, without a lease, the record as last written. The record itself may
+	// have lapsed, so only this entry tells which incarnation was served. Each process of
+	// the agent writes it before it serves a target, and all its writes expect it
+	// unchanged: what a stopped process has left to be executed late is refused.
+	served   entry
+	leaseTTL time.Duration
 	// desired holds the latest record that is to be written, nil if the stored one is to
 	// be deleted.
 	desired chan *steering.AgentRecord
@@ -86,7 +87,7 @@
 func (r *registrar) readPrevious(ctx context.Context) {
 	retry := newBackoff()
 	for ctx.Err() == nil {
-		kv, found, err := r.store.Get(ctx, r.servedKey)
+		kv, found, err := r.served.get(ctx, r.store)
 		if err != nil {
 			r.markStoreDown(err)
 			sleep(ctx, retry.NextBackOff())
@@ -95,7 +96,7 @@
 		previous := r.decodePrevious(kv, found)
 		r.markStoreUp()
 		if found {
-			r.saver.load(ctx)
+			r.saver.load(ctx, &r.served)
 		}
 		r.notify(previous)
 		return
@@ -133,11 +134,10 @@
 	}
 }
 
-// storeOnce tries once to write or delete the record. A delete that takes effect late
-// may remove a newer record, which is found missing and written again.
+// storeOnce tries once to write or delete the record.
 func (r *registrar) storeOnce(ctx context.Context) error {
 	if r.record == nil {
-		err := r.store.Delete(ctx, r.key)
+		err := r.removeRecord(ctx)
 		r.deleted = err == nil
 		return err
 	}
@@ -155,14 +155,13 @@
 	if err != nil {
 		return err
 	}
-	served, err := encodeServed(r.record, r.store.Era())
-	if err != nil {
-		return err
-	}
 	if err := r.ensureLease(ctx); err != nil {
 		return err
 	}
-	err = r.store.Put(ctx, store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.servedKey, Value: served})
+	err = writeIfUnchanged(ctx, r.store, []*entry{&r.served}, func() ([]store.Op, error) {
+		served, err := encodeServed(r.record, r.store.Era())
+		return []store.Op{store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.served.key, Value: served}}, err
+	})
 	if err == nil && r.store.Era() > r.leaseEra {
 		err = errLeaseOfEarlierEra
 	}
@@ -172,6 +171,13 @@
 	return err
 }
 
+// removeRecord tries once to delete the record.
+func (r *registrar) removeRecord(ctx context.Context) error {
+	return writeIfUnchanged(ctx, r.store, []*entry{&r.served}, func() ([]store.Op, error) {
+		return []store.Op{store.Delete{Key: r.key}}, nil
+	})
+}
+
 // ensureLease obtains a lease if there is none.
 func (r *registrar) ensureLease(ctx context.Context) error {
 	if r.lease != 0 {
@@ -215,7 +221,7 @@
 	if r.lease == 0 {
 		return
 	}
-	switch called, err := r.saver.save(ctx, r.lease); {
+	switch called, err := r.saver.save(ctx, r.lease, &r.served); {
 	case errors.Is(err, store.ErrLeaseLapsed):
 		r.replaceLease(ctx)
 	case err != nil:
@@ -259,7 +265,7 @@
 		r.warn("The flows could not be handed over.", err)
 		return
 	}
-	if _, err := r.saver.save(ctx, r.lease); err != nil {
+	if _, err := r.saver.save(ctx, r.lease, &r.served); err != nil {
 		r.warn("The flows could not be handed over.", err)
 	}
 }
@@ -269,7 +275,7 @@
 	if r.deleted {
 		return
 	}
-	if err := r.store.Delete(ctx, r.key); err != nil {
+	if err := r.removeRecord(ctx); err != nil {
 		r.warn("The record could not be deleted. It lapses with its lease.", err)
 	}
 }
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -164,7 +164,7 @@
 	a.renewLease(ctx)
 	a.checkEra(ctx)
 	a.saveFlows(ctx)
-	if _, found := stored(t, s, a.saver.key); !found {
+	if _, found := stored(t, s, a.saver.entry.key); !found {
 		t.Error("the flows are not saved")
 	}
 }
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -13,7 +13,7 @@
 // saver saves an agent's open flows in the store for the agent's next process.
 type saver struct {
 	store        store.PollingStore
-	key          string
+	entry        entry
 	currentFlows func() steering.SavedFlows
 	restore      func(steering.Event)
 	warn         func(string, error)
@@ -26,10 +26,10 @@
 	Incarnation int64  `json:"lifetime"`
 	Final       bool   `json:"final,omitempty"`
 	Agents      uint16 `json:"agents,omitempty"`
-	// Era is that of the store when the document was written, 0 if it was written by an
-	// earlier version.
-	Era   uint64          `json:"era,omitempty"`
-	Flows []savedFlowItem `json:"flows"`
+	// Registration is the revision of the agent's served entry when the document was
+	// written, 0 if that was by an earlier version.
+	Registration store.Revision  `json:"registration,omitempty"`
+	Flows        []savedFlowItem `json:"flows"`
 }
 
 type savedFlowItem struct {
@@ -41,8 +41,8 @@
 	NonIdempotent bool `json:"u,omitempty"`
 }
 
-func encodeSaved(saved *steering.SavedFlows, era uint64) ([]byte, error) {
-	doc := savedDocument{Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, Era: era, Flows: make([]savedFlowItem, 0, len(saved.Flows))}
+func encodeSaved(saved *steering.SavedFlows, registration store.Revision) ([]byte, error) {
+	doc := savedDocument{Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, Registration: registration, Flows: make([]savedFlowItem, 0, len(saved.Flows))}
 	for _, f := range saved.Flows {
 		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.HalfOpen, f.NonIdempotent})
 	}
@@ -51,14 +51,15 @@
 
 var errNotIPv4 = errors.New("a saved flow has an address that is not IPv4")
 
-// decodeSaved decodes the flows as read in an era of the store. Those of an earlier era
-// are not final: the store has lost what was written after them.
-func decodeSaved(value []byte, era uint64) (*steering.SavedFlows, error) {
+// decodeSaved decodes the flows as read when the agent's served entry has a revision. They
+// are not final if another process has registered since they were written, or if the store
+// may have lost that.
+func decodeSaved(value []byte, registration store.Revision) (*steering.SavedFlows, error) {
 	var doc savedDocument
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return nil, err
 	}
-	final := doc.Final && max(doc.Era, store.FirstEra) == era
+	final := doc.Final && doc.Registration != 0 && doc.Registration == registration
 	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: final, Agents: doc.Agents}
 	for _, f := range doc.Flows {
 		caller, callerOK := steering.EndpointOf(f.Caller)
@@ -74,8 +75,8 @@
 
 // load restores the flows of an earlier process. A failed read is not retried,
 // as the flows are useless later.
-func (s *saver) load(ctx context.Context) {
-	kv, found, err := s.store.Get(ctx, s.key)
+func (s *saver) load(ctx context.Context, served *entry) {
+	kv, found, err := s.entry.get(ctx, s.store)
 	if err != nil {
 		s.warn("The saved flows can't be read.", err)
 		return
@@ -83,7 +84,7 @@
 	if !found {
 		return
 	}
-	flows, err := decodeSaved(kv.Value, kv.ModRevision.Era())
+	flows, err := decodeSaved(kv.Value, served.revision)
 	if err != nil {
 		s.warn("The saved flows are malformed.", err)
 		return
@@ -92,7 +93,7 @@
 	s.saved.Final = false
 	if flows.Final {
 		// From now on the saved flows are incomplete for any later reader.
-		if err := s.write(ctx, &s.saved, kv.Lease); err != nil {
+		if err := s.write(ctx, &s.saved, kv.Lease, served); err != nil {
 			s.warn("The saved flows can't be marked as used.", err)
 			flows.Final = false
 		}
@@ -102,12 +103,12 @@
 
 // save writes the flows under a lease if the saved ones are out of date, and
 // reports whether it called the store. The next save makes up for a failed one.
-func (s *saver) save(ctx context.Context, lease store.LeaseID) (called bool, err error) {
+func (s *saver) save(ctx context.Context, lease store.LeaseID, served *entry) (called bool, err error) {
 	flows := s.currentFlows()
 	if s.saved.IsUpToDate(&flows) {
 		return false, nil
 	}
-	if err := s.write(ctx, &flows, lease); err != nil {
+	if err := s.write(ctx, &flows, lease, served); err != nil {
 		return true, err
 	}
 	s.saved = flows
@@ -117,10 +118,9 @@
 // forgetSaved makes the next save write the flows even if they have not changed.
 func (s *saver) forgetSaved() { s.saved = steering.SavedFlows{} }
 
-func (s *saver) write(ctx context.Context, flows *steering.SavedFlows, lease store.LeaseID) error {
-	value, err := encodeSaved(flows, s.store.Era())
-	if err != nil {
-		return err
-	}
-	return s.store.Put(ctx, store.Put{Key: s.key, Value: value, Lease: lease})
+func (s *saver) write(ctx context.Context, flows *steering.SavedFlows, lease store.LeaseID, served *entry) error {
+	return writeIfUnchanged(ctx, s.store, []*entry{served, &s.entry}, func() ([]store.Op, error) {
+		value, err := encodeSaved(flows, served.revision)
+		return []store.Op{store.Put{Key: s.entry.key, Value: value, Lease: lease}}, err
+	})
 }
--- a/internal/direct/saver_test.go
+++ b/internal/direct/saver_test.go
@@ -18,12 +18,22 @@
 			Flow: steering.Flow{Caller: caller, Address: address}, Ack: 4_000_000_000, HalfOpen: true, NonIdempotent: true,
 		}},
 	}
-	value, err := encodeSaved(want, store.FirstEra)
+	registration := store.NewRevision(2, 17)
+	value, err := encodeSaved(want, registration)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeSaved(value, store.FirstEra)
+	got, err := decodeSaved(value, registration)
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%s is decoded as %+v, error %v", value, got, err)
 	}
+	for _, other := range []store.Revision{0, store.NewRevision(1, 17), registration + 1} {
+		if got, err := decodeSaved(value, other); err != nil || got.Final {
+			t.Errorf("flows of registration %d are decoded as %+v, error %v, at registration %d", registration, got, err, other)
+		}
+	}
+	old, err := decodeSaved([]byte(`{"lifetime":7,"final":true,"era":1,"flows":[]}`), 0)
+	if err != nil || old.Final {
+		t.Errorf("flows that an earlier version saved are decoded as %+v, error %v", old, err)
+	}
 }
--- a/internal/store/polling.go
+++ b/internal/store/polling.go
@@ -24,12 +24,11 @@
 	// first. It fails with ErrCompacted if the store no longer keeps the changes, or was
 	// restored since the revision.
 	Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
-	// Put writes pairs in one transaction. It fails with ErrLeaseLapsed if a
-	// lease has lapsed, and with ErrOutcomeUnknown if the write may have taken
-	// effect.
-	Put(ctx context.Context, pairs ...Put) error
-	// Delete deletes a key.
-	Delete(ctx context.Context, key string) error
+	// Write runs a transaction of Put and Delete operations and returns its revision. It
+	// fails with ErrCompareFailed if a condition did not hold, also one from an earlier
+	// era, with ErrLeaseLapsed if a lease has lapsed, and with ErrOutcomeUnknown if the
+	// write may have taken effect or may do so later.
+	Write(ctx context.Context, t Txn) (Revision, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease. It fails with ErrLeaseLapsed if the lease has
