--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -15,6 +15,9 @@
 	Peer netip.AddrPort
 	// Incarnation is the start of the agent's process, which tells its runs apart.
 	Incarnation uint64
+	// StartedAt is when the agent's process started, by a clock of the host that all
+	// processes share and nobody sets, 0 if there is none.
+	StartedAt time.Duration
 	// HeartbeatInterval is the interval between heartbeats of the target.
 	HeartbeatInterval time.Duration
 }
@@ -93,7 +96,7 @@
 	case *PreviousRecord:
 		a.handlePreviousRecord(now, e)
 	case *RecordStored:
-		a.target.storedIncarnation, a.target.writtenIncarnation = e.Incarnation, e.Incarnation
+		a.target.writtenIncarnation = e.Incarnation
 	case *Stop:
 		a.stopping = true
 	case *Tick:
@@ -189,7 +192,7 @@
 	switch {
 	case a.stopping || t.draining:
 		return RefusedDraining
-	case !t.isUsable(now):
+	case !a.isTargetUsable(now):
 		return RefusedNoTarget
 	case service != t.service:
 		return RefusedOtherService
--- a/internal/core/steering/limits_test.go
+++ b/internal/core/steering/limits_test.go
@@ -128,7 +128,7 @@
 	}
 	a.Step(a.now, previous)
 	saved := 0
-	for _, f := range a.SnapshotFlows().Flows {
+	for _, f := range a.SnapshotFlows(a.now).Flows {
 		if f.NonIdempotent {
 			saved++
 		}
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -26,8 +26,11 @@
 type SavedFlows struct {
 	Incarnation int64
 	// Final reports that these are all flows of the target: they were saved at a
-	// graceful shutdown, and no other process has run since.
+	// graceful shutdown, and no other process has registered since.
 	Final bool
+	// HandedOverAt is when they were saved, if they are final, by the clock of
+	// AgentIdentity.StartedAt.
+	HandedOverAt time.Duration
 	// Agents is the last known number of agents.
 	Agents uint16
 	Flows  []SavedFlow
@@ -44,14 +47,20 @@
 const maxSavedFlows = 512
 
 // SnapshotFlows returns the flows to save, in a fixed order: the open ones, or all
-// flows if the agent is stopping and knows all of them. If there are too many, those of
+// flows if the agent is stopping and can hand them over. If there are too many, those of
 // non-idempotent requests are preferred: a late reset costs their callers most.
-func (a *Agent) SnapshotFlows() SavedFlows {
+func (a *Agent) SnapshotFlows(now time.Time) SavedFlows {
 	if !a.target.known && a.target.savedFlows != nil {
 		// No target is known yet: the flows are as the previous process saved them.
-		return *a.target.savedFlows
+		out := *a.target.savedFlows
+		out.Final = out.Final && a.stopping
+		out.HandedOverAt = a.hostTime(now)
+		return out
+	}
+	out := SavedFlows{Incarnation: a.target.incarnation, Final: a.canHandOver(), Agents: a.balancers.agentCount}
+	if out.Final {
+		out.HandedOverAt = a.hostTime(now)
 	}
-	out := SavedFlows{Incarnation: a.target.incarnation, Final: a.stopping && a.target.complete != incomplete, Agents: a.balancers.agentCount}
 	for f, local := range a.flows.byFlow {
 		if out.Final || local.established && !local.closed {
 			out.Flows = append(out.Flows, SavedFlow{Flow: f, Ack: local.callerAck, HalfOpen: !local.established, NonIdempotent: local.nonIdempotent})
@@ -65,6 +74,26 @@
 	return out
 }
 
+// canHandOver reports whether the agent's flows are all flows of the target, and the next
+// process can tell that no other one has served it in between.
+func (a *Agent) canHandOver() bool {
+	return a.stopping && a.target.complete != incomplete && a.target.writtenIncarnation != 0 && a.identity.StartedAt > 0
+}
+
+// hostTime returns a time by the clock of AgentIdentity.StartedAt, or one shortly before.
+func (a *Agent) hostTime(now time.Time) time.Duration {
+	return a.identity.StartedAt + now.Sub(a.startedAt)
+}
+
+// isHandedOver reports whether saved flows are still all flows of the target. If not, a
+// process may have served the target between the hand-over and this process, during an
+// outage of the store. After a restart of the host, its clock begins anew; then the target
+// is another one too.
+func (a *Agent) isHandedOver(s *SavedFlows) bool {
+	age := a.identity.StartedAt - s.HandedOverAt
+	return s.Final && s.HandedOverAt > 0 && age >= 0 && age < handOverValidity
+}
+
 // compareSavePriority orders flows of non-idempotent requests first, and flows of equal
 // priority by their hash.
 func compareSavePriority(x, y SavedFlow) int {
@@ -81,9 +110,10 @@
 	slices.SortFunc(flows, func(x, y SavedFlow) int { return cmp.Compare(x.Flow.Hash(), y.Flow.Hash()) })
 }
 
-// IsUpToDate reports whether the saved flows need not be replaced by the current ones.
+// IsUpToDate reports whether the saved flows need not be replaced by the current ones. A
+// hand-over is always written, as its time counts.
 func (s *SavedFlows) IsUpToDate(current *SavedFlows) bool {
-	if s.Incarnation != current.Incarnation || s.Final != current.Final || s.Agents != current.Agents || len(s.Flows) != len(current.Flows) {
+	if s.Incarnation != current.Incarnation || s.Final || current.Final || s.Agents != current.Agents || len(s.Flows) != len(current.Flows) {
 		return false
 	}
 	for i := range s.Flows {
@@ -99,6 +129,7 @@
 // hold.
 func (a *Agent) restoreSavedFlows(now time.Time, s *SavedFlows) {
 	a.balancers.agentCount = max(a.balancers.agentCount, s.Agents)
+	s.Final = a.isHandedOver(s)
 	if a.target.absent {
 		a.resetFlows(a.flows.removeSaved(s.Flows))
 		return
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -241,7 +241,7 @@
 func TestLostFlowsAreResetWhileTargetsDoNotReturn(t *testing.T) {
 	w, callers := newSteadyWorld(t, 12, 3, 7, 60)
 	w.run(2 * time.Second)
-	w.saved = make(map[string]steering.SavedFlows)
+	w.saved = make(map[string]savedFlows)
 	losePower(w)
 	w.run(1500 * time.Millisecond)
 	restorePowerOf(w, w.agents[3:])
@@ -266,9 +266,9 @@
 	w, callers := newSteadyWorld(t, 17, 3, 7, 60)
 	w.run(2 * time.Second)
 	for _, a := range w.agents {
-		s := a.core.SnapshotFlows()
+		s := a.core.SnapshotFlows(w.now)
 		s.Flows = nil
-		w.saved[a.name] = s
+		w.saved[a.name] = savedFlows{SavedFlows: s}
 	}
 	losePower(w)
 	for _, a := range w.agents[:2] {
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -15,6 +15,12 @@
 	// without a record. After a loss of power, up to three heartbeats are sent before the
 	// agent listens.
 	unrecordedSequence = 3
+	// handOverValidity is how long after it was made the hand-over of an agent's process is
+	// complete for one that starts. A process that could not register, which ends a
+	// hand-over, admits no flows before it has run for that time: the one after it starts
+	// too late for a hand-over from before. A restart takes about 0.6 s. A longer time
+	// allows for slower ones and delays new flows during outages of the store.
+	handOverValidity = 1500 * time.Millisecond
 )
 
 // firstSequence is the sequence number of an incarnation's first heartbeat. No other process
@@ -93,10 +99,8 @@
 	heartbeatInterval time.Duration
 	// coldUntil is when the target's cold start ends.
 	coldUntil time.Time
-	// storedIncarnation is the target incarnation of the record in the store.
-	storedIncarnation int64
 	// writtenIncarnation is the target incarnation of the record that this process has
-	// written.
+	// written, 0 if it has not registered.
 	writtenIncarnation int64
 	previous           storedRecord
 	// savedFlows is the flows that an earlier process of this agent saved, until they
@@ -111,12 +115,22 @@
 	rollback  clockRollback
 }
 
-// isUsable reports whether flows can be opened at the target.
-func (t *targetSection) isUsable(now time.Time) bool {
+// isTargetUsable reports whether flows can be opened at the target.
+func (a *Agent) isTargetUsable(now time.Time) bool {
+	t := &a.target
 	if !t.known || t.deregistered || now.Sub(t.lastHeartbeat) > heartbeatTimeoutIntervals*t.heartbeatInterval {
 		return false
 	}
-	return t.storedIncarnation == t.incarnation || t.sequence >= unrecordedSequence && now.Sub(t.firstSeen) > registerTimeout
+	return t.writtenIncarnation == t.incarnation || a.mayServeUnrecorded(now)
+}
+
+// mayServeUnrecorded reports whether flows can be opened at the target although its record
+// could not be written: later processes can tell that they may have been.
+func (a *Agent) mayServeUnrecorded(now time.Time) bool {
+	t := &a.target
+	registered := t.writtenIncarnation != 0
+	return t.sequence >= unrecordedSequence && now.Sub(t.firstSeen) > registerTimeout &&
+		(registered || now.Sub(a.startedAt) > handOverValidity)
 }
 
 // isCold reports whether the target is in cold start.
@@ -160,7 +174,7 @@
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
-		storedIncarnation: t.storedIncarnation, writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows,
+		writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows,
 	}
 	a.markComplete(complete)
 	if replaced {
@@ -206,7 +220,6 @@
 	t.previous = storedRecord{known: true, incomplete: e.Incomplete}
 	if e.Found {
 		t.previous.incarnation = e.Record.Incarnation
-		t.storedIncarnation = e.Record.Incarnation
 	}
 	a.report(Report{Text: "Record of the earlier process is known.", Node: a.identity.Node, Why: recordState(e), Incarnation: e.Record.Incarnation})
 	if !t.known {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -48,9 +48,11 @@
 	callers   map[steering.Flow]*caller
 	records   map[string]steering.AgentRecord
 	// served holds the records as last written, which outlive them.
-	served   map[string]steering.AgentRecord
-	saved    map[string]steering.SavedFlows
-	revision uint64
+	served map[string]steering.AgentRecord
+	saved  map[string]savedFlows
+	// registrations counts how often an agent's record was written.
+	registrations map[string]int
+	revision      uint64
 	// version is that of the configuration in the store.
 	version    int64
 	domainsOut map[string]bool
@@ -70,6 +72,12 @@
 	idempotent bool
 }
 
+// savedFlows is the flows that an agent has saved, and its registrations until then.
+type savedFlows struct {
+	steering.SavedFlows
+	registration int
+}
+
 type event struct {
 	at  time.Time
 	seq int
@@ -163,7 +171,7 @@
 	return &world{
 		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord), served: make(map[string]steering.AgentRecord),
-		saved: make(map[string]steering.SavedFlows), domainsOut: make(map[string]bool), revision: 1, version: 1, applyTimeout: applyTimeout,
+		saved: make(map[string]savedFlows), registrations: make(map[string]int), domainsOut: make(map[string]bool), revision: 1, version: 1, applyTimeout: applyTimeout,
 	}
 }
 
@@ -268,7 +276,7 @@
 func (w *world) startAgent(a *agentNode) {
 	a.core = steering.NewAgent(steering.AgentIdentity{
 		Identity: steering.Identity{Node: a.name, Domain: a.domain}, Service: serviceName, Peer: a.addr,
-		Incarnation: uint64(w.now.UnixNano()), HeartbeatInterval: heartbeatInterval,
+		Incarnation: uint64(w.now.UnixNano()), StartedAt: w.hostTime(), HeartbeatInterval: heartbeatInterval,
 	})
 	a.up = true
 	a.incarnation++
@@ -276,6 +284,9 @@
 	w.readPrevious(a, a.incarnation)
 }
 
+// hostTime returns the time by the clock that the processes of a host share.
+func (w *world) hostTime() time.Duration { return time.Hour + w.elapsed() }
+
 // readPrevious passes what earlier processes of an agent have left in the store to it.
 func (w *world) readPrevious(a *agentNode, incarnation int) {
 	if !a.up || a.incarnation != incarnation {
@@ -287,10 +298,9 @@
 	}
 	r, found := w.served[a.name]
 	if s, ok := w.saved[a.name]; ok {
-		used := s
-		used.Final = false
-		w.saved[a.name] = used
-		w.stepAgent(a, &s)
+		flows := s.SavedFlows
+		flows.Final = flows.Final && s.registration == w.registrations[a.name]
+		w.stepAgent(a, &flows)
 	}
 	w.stepAgent(a, &steering.PreviousRecord{Found: found, Record: r})
 }
@@ -308,7 +318,7 @@
 // saveFlows saves the flows of an agent in the store.
 func (w *world) saveFlows(a *agentNode) {
 	if !w.storeUnreachable {
-		w.saved[a.name] = a.core.SnapshotFlows()
+		w.saved[a.name] = savedFlows{a.core.SnapshotFlows(w.now), w.registrations[a.name]}
 	}
 }
 
@@ -408,6 +418,7 @@
 		return
 	}
 	w.records[a.name], w.served[a.name] = r, r
+	w.registrations[a.name]++
 	w.notifyStoreChange()
 	if a.up {
 		w.stepAgent(a, &steering.RecordStored{Incarnation: r.Incarnation})
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -40,14 +40,20 @@
 
 // NewAgent returns an agent that has not started.
 func NewAgent(s *settings.DirectAgent, p Platform, h TargetHandler, logs *obs.LoggerFactory, metrics tally.Scope) *Agent {
+	n := newNode(&s.Direct, p, "agent", logs, metrics)
+	startedAt, err := hostClock()
+	if err != nil {
+		n.warn("The host's clock can't be read. Flows are not handed over.", err)
+	}
 	a := &Agent{
-		node:          newNode(&s.Direct, p, "agent", logs, metrics),
+		node:          n,
 		settings:      s,
 		targetHandler: h,
 		steering: steering.NewAgent(steering.AgentIdentity{
 			Identity: steering.Identity{Node: string(s.Node), Domain: string(s.Domain)},
 			Service:  s.Service, Peer: s.Peer,
 			Incarnation:       uint64(time.Now().UnixNano()),
+			StartedAt:         startedAt,
 			HeartbeatInterval: s.HeartbeatInterval,
 		}),
 	}
@@ -67,7 +73,7 @@
 func (a *Agent) currentFlows() steering.SavedFlows {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.steering.SnapshotFlows()
+	return a.steering.SnapshotFlows(time.Now())
 }
 
 // Start opens the sockets and starts the goroutines.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -287,7 +287,8 @@
 	}
 }
 
-// Saved flows must no longer be final once a process has read them.
+// Saved flows must no longer be final once a process has registered. Whether one that could
+// not register may have served the target is for the core to tell.
 func TestFinalFlowsAreRestoredOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
@@ -304,7 +305,11 @@
 	for _, final := range []bool{true, false} {
 		var mu sync.Mutex
 		var events []steering.Event
-		newRegistrar(s, &events, &mu).readPrevious(context.Background())
+		r := newRegistrar(s, &events, &mu)
+		r.readPrevious(context.Background())
+		record := exampleRecord
+		r.record = &record
+		r.storeDesired(context.Background())
 		got := events[0].(*steering.SavedFlows)
 		if got.Final != final || len(got.Flows) != 1 || got.Flows[0] != (steering.SavedFlow{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}) {
 			t.Errorf("restored %+v, want final %v", got, final)
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/store"
@@ -26,6 +27,8 @@
 	Incarnation int64  `json:"lifetime"`
 	Final       bool   `json:"final,omitempty"`
 	Agents      uint16 `json:"agents,omitempty"`
+	// HandedOverNs is steering.SavedFlows.HandedOverAt, in nanoseconds.
+	HandedOverNs int64 `json:"handed_over_ns,omitempty"`
 	// Registration is the revision of the agent's served entry when the document was
 	// written, 0 if that was by an earlier version.
 	Registration store.Revision  `json:"registration,omitempty"`
@@ -42,7 +45,10 @@
 }
 
 func encodeSaved(saved *steering.SavedFlows, registration store.Revision) ([]byte, error) {
-	doc := savedDocument{Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, Registration: registration, Flows: make([]savedFlowItem, 0, len(saved.Flows))}
+	doc := savedDocument{
+		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, HandedOverNs: saved.HandedOverAt.Nanoseconds(),
+		Registration: registration, Flows: make([]savedFlowItem, 0, len(saved.Flows)),
+	}
 	for _, f := range saved.Flows {
 		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.HalfOpen, f.NonIdempotent})
 	}
@@ -60,7 +66,7 @@
 		return nil, err
 	}
 	final := doc.Final && doc.Registration != 0 && doc.Registration == registration
-	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: final, Agents: doc.Agents}
+	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: final, HandedOverAt: time.Duration(doc.HandedOverNs), Agents: doc.Agents}
 	for _, f := range doc.Flows {
 		caller, callerOK := steering.EndpointOf(f.Caller)
 		address, addressOK := steering.EndpointOf(f.Address)
@@ -90,14 +96,6 @@
 		return
 	}
 	s.saved = *flows
-	s.saved.Final = false
-	if flows.Final {
-		// From now on the saved flows are incomplete for any later reader.
-		if err := s.write(ctx, &s.saved, kv.Lease, served); err != nil {
-			s.warn("The saved flows can't be marked as used.", err)
-			flows.Final = false
-		}
-	}
 	s.restore(flows)
 }
 
