--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -11,6 +11,8 @@
 	Identity
 	// Service is the service that the agent's host is assigned to.
 	Service string
+	// Target is the address of the target.
+	Target netip.AddrPort
 	// Peer is the address that messages from balancers are sent to.
 	Peer netip.AddrPort
 	// Incarnation is the start of the agent's process, which tells its runs apart.
@@ -80,6 +82,7 @@
 		a.startedAt = now
 	}
 	a.flows.expireAwaitedRequests(now)
+	a.endReplaced(now)
 	switch e := e.(type) {
 	case *SegmentReceived:
 		a.handleOutbound(now, e.Segment)
@@ -252,7 +255,7 @@
 	if _, ok := a.flows.returnedAt[f]; ok {
 		return VerdictTried
 	}
-	if a.target.complete != incomplete {
+	if a.target.knowsAllFlows() {
 		return VerdictAbsent
 	}
 	return VerdictUnsure
--- a/internal/core/steering/clock_rollback_test.go
+++ b/internal/core/steering/clock_rollback_test.go
@@ -30,7 +30,7 @@
 }
 
 func (a *heartbeatAgent) sendHeartbeat(incarnation, sequence int64) {
-	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Incarnation: incarnation, Sequence: sequence, Slots: 4})
+	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Domain: "d", Incarnation: incarnation, Sequence: sequence, Slots: 4})
 }
 
 // pingForRefusal returns why the agent refuses new flows, as it reports to a balancer.
--- a/internal/core/steering/completeness_test.go
+++ b/internal/core/steering/completeness_test.go
@@ -178,7 +178,7 @@
 // handOver returns the flows that an agent's process hands over when it is stopped at a time of
 // the host's clock.
 func handOver(stoppedAt time.Duration) *steering.SavedFlows {
-	return &steering.SavedFlows{Incarnation: currentIncarnation, Final: true, HandedOverAt: stoppedAt}
+	return &steering.SavedFlows{Incarnation: currentIncarnation, Final: true, SavedAt: stoppedAt}
 }
 
 const (
@@ -269,7 +269,7 @@
 		a.advance(2 * time.Second)
 		a.Step(a.now, &steering.Stop{})
 		got := a.SnapshotFlows(a.now)
-		if got.Final != test.want || got.Final && got.HandedOverAt != test.startedAt+2*time.Second {
+		if got.Final != test.want || got.Final && got.SavedAt != test.startedAt+2*time.Second {
 			t.Errorf("%s: the flows are %+v, want final %v", test.name, got, test.want)
 		}
 	}
--- a/internal/core/steering/limits_test.go
+++ b/internal/core/steering/limits_test.go
@@ -20,12 +20,17 @@
 var balancerPeer = netip.MustParseAddrPort("10.0.0.2:7000")
 
 func newLimitedAgent(coldRemaining time.Duration, limits steering.Limits) *limitedAgent {
+	return newLimitedAgentOf("s", coldRemaining, limits)
+}
+
+// newLimitedAgentOf returns an agent on a host that is meant for a service.
+func newLimitedAgentOf(service string, coldRemaining time.Duration, limits steering.Limits) *limitedAgent {
 	a := &limitedAgent{
-		Agent: steering.NewAgent(steering.AgentIdentity{Identity: steering.Identity{Node: "a", Domain: "d"}, Service: "s", HeartbeatInterval: time.Minute}),
+		Agent: steering.NewAgent(steering.AgentIdentity{Identity: steering.Identity{Node: "a", Domain: "d"}, Service: service, HeartbeatInterval: time.Minute}),
 		now:   time.Unix(1000, 0),
 	}
 	a.Step(a.now, &steering.PreviousRecord{})
-	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Incarnation: 7, Sequence: 1, Slots: 100, ColdRemaining: coldRemaining})
+	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: service, Domain: "d", Incarnation: 7, Sequence: 1, Slots: 100, ColdRemaining: coldRemaining})
 	a.Step(a.now, &steering.RecordStored{Incarnation: 7})
 	a.ping(limits)
 	return a
@@ -61,7 +66,8 @@
 }
 
 // An address may have been used by another service before, so a balancer's knowledge of
-// the agent's service may be out of date.
+// the agent's service may be out of date. A heartbeat for another service is another writer's
+// and changes nothing.
 func TestAgentRefusesFlowsOfAnotherService(t *testing.T) {
 	a := newLimitedAgent(0, steering.Limits{})
 	if got := a.open("other"); got != steering.RefusedOtherService {
@@ -70,10 +76,19 @@
 	if got := a.open("s"); got != steering.NotRefused {
 		t.Errorf("a flow of the target's service: %v", got)
 	}
-	a.Step(a.now, &steering.Heartbeat{Instance: "j", Service: "other", Incarnation: 8, Sequence: 1, Slots: 100})
-	a.Step(a.now, &steering.RecordStored{Incarnation: 8})
-	if got := a.open("s"); got != steering.RefusedOtherService {
-		t.Errorf("a flow of the service that was served before: %v", got)
+	a.Step(a.now, &steering.Heartbeat{Instance: "j", Service: "other", Domain: "d", Incarnation: 8, Sequence: 1, Slots: 100})
+	if got := a.open("other"); got != steering.RefusedOtherService {
+		t.Errorf("a flow of a service that another writer named: %v", got)
+	}
+	if got := a.open("s"); got != steering.NotRefused {
+		t.Errorf("a flow of the target's service after another writer's heartbeat: %v", got)
+	}
+	next := newLimitedAgentOf("other", 0, steering.Limits{})
+	if got := next.open("s"); got != steering.RefusedOtherService {
+		t.Errorf("a flow of the service that was served at the address before: %v", got)
+	}
+	if got := next.open("other"); got != steering.NotRefused {
+		t.Errorf("a flow of the service that the address went to: %v", got)
 	}
 }
 
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -256,7 +256,7 @@
 
 func newBusyAgent() *busyAgent {
 	a := &busyAgent{newLimitedAgent(0, steering.Limits{})}
-	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Incarnation: 7, Sequence: 2, Slots: 4})
+	a.Step(a.now, &steering.Heartbeat{Instance: "i", Service: "s", Domain: "d", Incarnation: 7, Sequence: 2, Slots: 4})
 	return a
 }
 
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -28,9 +28,10 @@
 	// Final reports that these are all flows of the target: they were saved at a
 	// graceful shutdown, and no other process has registered since.
 	Final bool
-	// HandedOverAt is when they were saved, if they are final, by the clock of
-	// AgentIdentity.StartedAt.
-	HandedOverAt time.Duration
+	// SavedAt is when they were saved, by the clock of AgentIdentity.StartedAt, and
+	// SavedTime is the time of day then.
+	SavedAt   time.Duration
+	SavedTime time.Time
 	// Agents is the last known number of agents.
 	Agents uint16
 	Flows  []SavedFlow
@@ -54,12 +55,12 @@
 		// No target is known yet: the flows are as the previous process saved them.
 		out := *a.target.savedFlows
 		out.Final = out.Final && a.stopping
-		out.HandedOverAt = a.hostTime(now)
+		out.SavedAt, out.SavedTime = a.hostTime(now), now
 		return out
 	}
-	out := SavedFlows{Incarnation: a.target.incarnation, Final: a.canHandOver(), Agents: a.balancers.agentCount}
-	if out.Final {
-		out.HandedOverAt = a.hostTime(now)
+	out := SavedFlows{
+		Incarnation: a.target.incarnation, Final: a.canHandOver(), SavedAt: a.hostTime(now), SavedTime: now,
+		Agents: a.balancers.agentCount,
 	}
 	for f, local := range a.flows.byFlow {
 		if out.Final || local.established && !local.closed {
@@ -77,7 +78,7 @@
 // canHandOver reports whether the agent's flows are all flows of the target, and the next
 // process can tell that no other one has served it in between.
 func (a *Agent) canHandOver() bool {
-	return a.stopping && a.target.complete != incomplete && a.target.writtenIncarnation != 0 && a.identity.StartedAt > 0
+	return a.stopping && a.target.knowsAllFlows() && a.target.writtenIncarnation != 0 && a.identity.StartedAt > 0
 }
 
 // hostTime returns a time by the clock of AgentIdentity.StartedAt, or one shortly before.
@@ -90,8 +91,18 @@
 // outage of the store. After a restart of the host, its clock begins anew; then the target
 // is another one too.
 func (a *Agent) isHandedOver(s *SavedFlows) bool {
-	age := a.identity.StartedAt - s.HandedOverAt
-	return s.Final && s.HandedOverAt > 0 && age >= 0 && age < handOverValidity
+	age := a.identity.StartedAt - s.SavedAt
+	return s.Final && s.SavedAt > 0 && age >= 0 && age < handOverValidity
+}
+
+// hostRestartedSince reports whether the host has restarted since flows were saved, so that
+// their target has ended: the host's clock began anew, while the time of day went on.
+func (a *Agent) hostRestartedSince(s *SavedFlows) bool {
+	if s.SavedAt <= 0 || a.identity.StartedAt <= 0 {
+		return false
+	}
+	elapsed, elapsedOfDay := a.identity.StartedAt-s.SavedAt, a.startedAt.Sub(s.SavedTime)
+	return elapsed < 0 || (elapsed-elapsedOfDay).Abs() > maxTimeStep
 }
 
 // compareSavePriority orders flows of non-idempotent requests first, and flows of equal
@@ -144,10 +155,10 @@
 }
 
 // applySavedFlows adds the saved flows if they are of the target's current incarnation,
-// and resets them if they are of an earlier one.
+// and resets them if they are of an earlier one that has ended.
 func (a *Agent) applySavedFlows(now time.Time) {
 	s := a.target.savedFlows
-	if s == nil || !a.target.known {
+	if s == nil || !a.target.known || s.Incarnation < a.target.incarnation && !a.savedTargetEnded(now, s) {
 		return
 	}
 	a.target.savedFlows = nil
@@ -160,6 +171,12 @@
 	}
 }
 
+// savedTargetEnded reports whether the target whose flows were saved has ended, if another
+// one has sent a heartbeat.
+func (a *Agent) savedTargetEnded(now time.Time, s *SavedFlows) bool {
+	return a.hasHeardSince(now, a.startedAt) || a.hostRestartedSince(s)
+}
+
 // savedState describes saved flows for log lines.
 func savedState(s *SavedFlows) string {
 	if s.Final {
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -354,6 +354,7 @@
 	}
 	for _, a := range w.agents {
 		a.up, a.target.up = false, false
+		a.poweredAt = w.now
 	}
 }
 
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -1,6 +1,10 @@
 package steering
 
-import "time"
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
 
 const (
 	// heartbeatTimeoutIntervals is the number of heartbeat intervals without a heartbeat
@@ -35,6 +39,9 @@
 	// Instance names the target's process.
 	Instance string
 	Service  string
+	// Address is the target's address, Domain its failure domain.
+	Address netip.AddrPort
+	Domain  string
 	// Incarnation is the start of the target's process, in milliseconds since 1970
 	// by its own clock.
 	Incarnation int64
@@ -53,8 +60,11 @@
 // Found is false if there was none. It is Incomplete if other incarnations may have been
 // served since: the record can't be read, or the store may have lost a later one.
 type PreviousRecord struct {
-	Found      bool
-	Record     AgentRecord
+	Found  bool
+	Record AgentRecord
+	// Others are the incarnations that the earlier process had served before the recorded
+	// one: a target may turn out to live after another process has claimed its place.
+	Others     []int64
 	Incomplete bool
 }
 
@@ -62,15 +72,18 @@
 type storedRecord struct {
 	// known is set once the store was read, incomplete as in PreviousRecord.
 	known, incomplete bool
-	// incarnation is the target incarnation that was last served, 0 if none.
+	// incarnation is the target incarnation that was last served, 0 if none; others are
+	// those that its process had served before.
 	incarnation int64
+	others      []int64
 }
 
 // neverServed reports whether no earlier process can have served the incarnation whose
 // first heartbeat at this process had a sequence number: the record is of another one, and
 // none was served without a record.
 func (r storedRecord) neverServed(incarnation, firstSequence int64) bool {
-	return r.known && !r.incomplete && r.incarnation != incarnation && firstSequence <= unrecordedSequence
+	return r.known && !r.incomplete && r.incarnation != incarnation && !slices.Contains(r.others, incarnation) &&
+		firstSequence <= unrecordedSequence
 }
 
 // RecordStored reports that the record for a target incarnation is in the store.
@@ -113,6 +126,10 @@
 	absent    bool
 	lastProbe time.Time
 	rollback  clockRollback
+	// replaced is the target that this one seems to have replaced, until that is certain.
+	// refuted is a process that seemed to have replaced this target.
+	replaced *replacedTarget
+	refuted  refutedTarget
 }
 
 // isTargetUsable reports whether flows can be opened at the target.
@@ -136,16 +153,31 @@
 // isCold reports whether the target is in cold start.
 func (t *targetSection) isCold(now time.Time) bool { return now.Before(t.coldUntil) }
 
-// handleHeartbeat updates the target's state, unless the heartbeat is out of date.
+// handleHeartbeat updates the target's state, unless the heartbeat is out of date or not the
+// target's.
 func (a *Agent) handleHeartbeat(now time.Time, h *Heartbeat) {
+	if err := a.CheckHeartbeat(now, h); err != nil {
+		a.ignoreHeartbeat(h, err.Error())
+		return
+	}
 	t := &a.target
 	switch {
-	case t.known && h.Incarnation < t.incarnation && !t.recordEarlierHeartbeat(now, h),
-		t.known && h.Incarnation == t.incarnation && h.Sequence <= t.sequence:
-		a.Counters.HeartbeatsIgnored.Add(1)
-		a.report(Report{Text: "Heartbeat is out of date.", Node: h.Instance})
+	case t.refutes(h):
+		a.restoreReplaced(h)
+	case t.isSavedTarget(h):
+		a.startSavedTarget(now, h)
+	case t.isSameProcess(h):
+		if h.Sequence <= t.sequence {
+			a.ignoreHeartbeat(h, "out of date")
+			return
+		}
+	case t.known && h.Incarnation < t.incarnation && !t.recordEarlierHeartbeat(now, h):
+		a.ignoreHeartbeat(h, "an earlier target's")
+		return
+	case a.isRefuted(now, h):
+		a.ignoreHeartbeat(h, "the target lives")
 		return
-	case !t.known || h.Incarnation != t.incarnation || h.Instance != t.instance:
+	default:
 		a.startIncarnation(now, h)
 	}
 	if h.Draining != t.draining {
@@ -158,6 +190,11 @@
 	t.coldUntil = now.Add(h.ColdRemaining)
 }
 
+func (a *Agent) ignoreHeartbeat(h *Heartbeat, why string) {
+	a.Counters.HeartbeatsIgnored.Add(1)
+	a.report(Report{Text: "Heartbeat is ignored.", Node: h.Instance, Why: why, Incarnation: h.Incarnation})
+}
+
 func targetStateName(draining bool) string {
 	if draining {
 		return "draining"
@@ -169,21 +206,15 @@
 // flows yet.
 func (a *Agent) startIncarnation(now time.Time, h *Heartbeat) {
 	t := &a.target
-	replaced := t.known
 	complete := a.completenessOf(now, h)
+	replaced := a.replaceTarget(now, h)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
 		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
-		writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows,
+		writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows, replaced: replaced,
 	}
 	a.markComplete(complete)
-	if replaced {
-		a.resetFlows(a.flows.removeInactive(now.Add(-a.maxTargetAge(h))))
-	}
 	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Incarnation: h.Incarnation})
-	if h.Service != a.identity.Service {
-		a.report(Report{Text: "Target serves another service than the host is meant for.", Node: h.Instance, Why: h.Service})
-	}
 	a.applySavedFlows(now)
 	a.registerRecord()
 }
@@ -219,7 +250,7 @@
 	}
 	t.previous = storedRecord{known: true, incomplete: e.Incomplete}
 	if e.Found {
-		t.previous.incarnation = e.Record.Incarnation
+		t.previous.incarnation, t.previous.others = e.Record.Incarnation, e.Others
 	}
 	a.report(Report{Text: "Record of the earlier process is known.", Node: a.identity.Node, Why: recordState(e), Incarnation: e.Record.Incarnation})
 	if !t.known {
--- a/internal/core/steering/unsure.go
+++ b/internal/core/steering/unsure.go
@@ -31,7 +31,7 @@
 // answerUnsureQueries answers the remembered queries once the agent knows all flows of
 // its target: the searches wait for it.
 func (a *Agent) answerUnsureQueries() {
-	if a.target.complete == incomplete || len(a.unsureQueries) == 0 {
+	if !a.target.knowsAllFlows() || len(a.unsureQueries) == 0 {
 		return
 	}
 	queries := a.unsureQueries
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -140,7 +140,7 @@
 	if t.known {
 		v.Target = &TargetView{
 			Instance: t.instance, Service: t.name, Incarnation: t.incarnation, Draining: t.draining, Slots: t.slots,
-			InFlight: a.flows.busy, LastSeenMS: ageMS(now, t.lastHeartbeat), Complete: t.complete != incomplete,
+			InFlight: a.flows.busy, LastSeenMS: ageMS(now, t.lastHeartbeat), Complete: t.knowsAllFlows(),
 		}
 	}
 	for address, b := range a.balancers.byPeer {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -119,7 +119,9 @@
 	incarnation  int
 	up           bool
 	killedAt     time.Time
-	target       *target
+	// poweredAt is when the host was last started, zero if before the world.
+	poweredAt time.Time
+	target    *target
 	// verifications and saves count the agent's requests to the store.
 	verifications, saves int
 	// pings counts the pings received from balancers.
@@ -276,7 +278,7 @@
 func (w *world) startAgent(a *agentNode) {
 	a.core = steering.NewAgent(steering.AgentIdentity{
 		Identity: steering.Identity{Node: a.name, Domain: a.domain}, Service: serviceName, Peer: a.addr,
-		Incarnation: uint64(w.now.UnixNano()), StartedAt: w.hostTime(), HeartbeatInterval: heartbeatInterval,
+		Incarnation: uint64(w.now.UnixNano()), StartedAt: w.hostTime(a), HeartbeatInterval: heartbeatInterval,
 	})
 	a.up = true
 	a.incarnation++
@@ -284,8 +286,13 @@
 	w.readPrevious(a, a.incarnation)
 }
 
-// hostTime returns the time by the clock that the processes of a host share.
-func (w *world) hostTime() time.Duration { return time.Hour + w.elapsed() }
+// hostTime returns the time by the clock that the processes of an agent's host share.
+func (w *world) hostTime(a *agentNode) time.Duration {
+	if a.poweredAt.IsZero() {
+		return time.Hour + w.elapsed()
+	}
+	return w.now.Sub(a.poweredAt)
+}
 
 // readPrevious passes what earlier processes of an agent have left in the store to it.
 func (w *world) readPrevious(a *agentNode, incarnation int) {
@@ -335,7 +342,7 @@
 	t.sequence++
 	if a.up {
 		w.stepAgent(a, &steering.Heartbeat{
-			Instance: a.instance(), Service: serviceName, Incarnation: t.incarnation,
+			Instance: a.instance(), Service: serviceName, Domain: a.domain, Incarnation: t.incarnation,
 			Sequence: t.sequence, Draining: t.draining, Slots: targetSlots,
 		})
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -101,7 +101,7 @@
 }
 
 func newTargetHandler() direct.TargetHandler {
-	return func(heartbeat func(*steering.Heartbeat), deregistered func(*steering.TargetDeregistered), rejected func(error)) http.Handler {
+	return func(heartbeat func(*steering.Heartbeat) error, deregistered func(*steering.TargetDeregistered), rejected func(error)) http.Handler {
 		return platform.TargetHandler(platform.TargetCallbacks{Heartbeat: heartbeat, Deregistered: deregistered, Rejected: rejected})
 	}
 }
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -19,9 +19,9 @@
 )
 
 // TargetHandler returns a handler of the target's requests. It passes decoded
-// requests to heartbeat and deregistered, and the errors of malformed ones to
-// rejected.
-type TargetHandler func(heartbeat func(*steering.Heartbeat), deregistered func(*steering.TargetDeregistered), rejected func(error)) http.Handler
+// requests to heartbeat and deregistered, and the errors of those that are malformed or not
+// accepted to rejected.
+type TargetHandler func(heartbeat func(*steering.Heartbeat) error, deregistered func(*steering.TargetDeregistered), rejected func(error)) http.Handler
 
 // Agent is a running agent for direct server return.
 type Agent struct {
@@ -51,7 +51,7 @@
 		targetHandler: h,
 		steering: steering.NewAgent(steering.AgentIdentity{
 			Identity: steering.Identity{Node: string(s.Node), Domain: string(s.Domain)},
-			Service:  s.Service, Peer: s.Peer,
+			Service:  s.Service, Target: s.Target, Peer: s.Peer,
 			Incarnation:       uint64(time.Now().UnixNano()),
 			StartedAt:         startedAt,
 			HeartbeatInterval: s.HeartbeatInterval,
@@ -87,7 +87,7 @@
 		return fmt.Errorf("listen for balancers: %w", err)
 	}
 	target := a.targetHandler(
-		func(h *steering.Heartbeat) { a.handleEvent(h) },
+		a.acceptHeartbeat,
 		func(d *steering.TargetDeregistered) { a.handleEvent(d) },
 		func(err error) { a.warn("A request of the target is malformed.", err) },
 	)
@@ -112,6 +112,17 @@
 	return nil
 }
 
+// acceptHeartbeat passes a heartbeat to the core, or returns why it is not the target's.
+func (a *Agent) acceptHeartbeat(h *steering.Heartbeat) error {
+	a.mu.Lock()
+	err := a.steering.CheckHeartbeat(time.Now(), h)
+	a.mu.Unlock()
+	if err == nil {
+		a.handleEvent(h)
+	}
+	return err
+}
+
 // agentTickInterval is the interval of ticks in an agent, which has no short timers.
 const agentTickInterval = 500 * time.Millisecond
 
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -213,6 +214,27 @@
 	}
 }
 
+// A target is registered again after another one was: the entry names both.
+func TestServedEntryNamesAllIncarnationsOfTheProcess(t *testing.T) {
+	s := newFakeStore()
+	var mu sync.Mutex
+	var events []steering.Event
+	r := newRegistrar(s, &events, &mu)
+	ctx := context.Background()
+	for _, incarnation := range []int64{7, 8, 7} {
+		record := exampleRecord
+		record.Incarnation = incarnation
+		r.record = &record
+		r.storeDesired(ctx)
+	}
+	next := newRegistrar(s, &events, &mu)
+	next.readPrevious(ctx)
+	got, ok := events[len(events)-1].(*steering.PreviousRecord)
+	if !ok || got.Record.Incarnation != 7 || !slices.Equal(got.Others, []int64{8}) {
+		t.Errorf("the next process gets %+v", events[len(events)-1])
+	}
+}
+
 // The target deregisters while the store is down. The record must be deleted once the
 // store is back, and written again for the next target.
 func TestRecordOfADeregisteredTargetIsDeletedAfterAnOutage(t *testing.T) {
@@ -292,7 +314,7 @@
 func TestFinalFlowsAreRestoredOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
-	served, err := encodeServed(&exampleRecord, store.FirstEra)
+	served, err := encodeServed(&exampleRecord, nil, store.FirstEra)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -26,22 +26,23 @@
 	// Era is that of the store when the document was written, 0 if it was written by an
 	// earlier version.
 	Era uint64 `json:"era,omitempty"`
+	// Others are the incarnations that the agent's process has served before.
+	Others []int64 `json:"others,omitempty"`
 }
 
-func encodeServed(r *steering.AgentRecord, era uint64) ([]byte, error) {
-	return json.Marshal(servedDocument{recordDocument(*r), era})
+func encodeServed(r *steering.AgentRecord, others []int64, era uint64) ([]byte, error) {
+	return json.Marshal(servedDocument{recordDocument(*r), era, others})
 }
 
-// decodeServed decodes the incarnation that a node has served and the era in which that was
-// written.
-func decodeServed(node string, value []byte) (steering.AgentRecord, uint64, error) {
-	record, err := decodeRecord(node, value)
+// decodeServed decodes what a node has served and the era in which that was written.
+func decodeServed(node string, value []byte) (record steering.AgentRecord, others []int64, era uint64, err error) {
+	record, err = decodeRecord(node, value)
 	if err != nil {
-		return record, 0, err
+		return record, nil, 0, err
 	}
 	var doc servedDocument
 	err = json.Unmarshal(value, &doc)
-	return record, max(doc.Era, store.FirstEra), err
+	return record, doc.Others, max(doc.Era, store.FirstEra), err
 }
 
 var (
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
@@ -40,6 +41,8 @@
 	// leaseEra is the era of the store in which the lease was granted.
 	leaseEra uint64
 	record   *steering.AgentRecord
+	// incarnations are those of the records that this process has written, the latest last.
+	incarnations []int64
 	// deleted reports that the stored record was deleted as desired.
 	deleted   bool
 	storeDown bool
@@ -110,13 +113,13 @@
 	if !found {
 		return &steering.PreviousRecord{Incomplete: r.store.Era() > store.FirstEra}
 	}
-	record, era, err := decodeServed(r.node, kv.Value)
+	record, others, era, err := decodeServed(r.node, kv.Value)
 	if err != nil {
 		// Some incarnation was served, but it is unknown which.
 		r.warn("The agent's own record is malformed.", err)
 		return &steering.PreviousRecord{Found: true, Incomplete: true}
 	}
-	return &steering.PreviousRecord{Found: true, Record: record, Incomplete: era != kv.ModRevision.Era()}
+	return &steering.PreviousRecord{Found: true, Record: record, Others: others, Incomplete: era != kv.ModRevision.Era()}
 }
 
 // storeDesired writes the record, or deletes the stored one if none is desired. It
@@ -159,7 +162,7 @@
 		return err
 	}
 	err = writeIfUnchanged(ctx, r.store, []*entry{&r.served}, func() ([]store.Op, error) {
-		served, err := encodeServed(r.record, r.store.Era())
+		served, err := encodeServed(r.record, r.servedBefore(), r.store.Era())
 		return []store.Op{store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.served.key, Value: served}}, err
 	})
 	if err == nil && r.store.Era() > r.leaseEra {
@@ -171,6 +174,21 @@
 	return err
 }
 
+// maxServedBefore bounds the incarnations that are recorded beside the present one. Two are
+// usual, if another process claims a live target's place.
+const maxServedBefore = 8
+
+// servedBefore returns the incarnations other than the record's that this process has served.
+func (r *registrar) servedBefore() []int64 {
+	present := r.record.Incarnation
+	others := slices.DeleteFunc(slices.Clone(r.incarnations), func(i int64) bool { return i == present })
+	if len(others) > maxServedBefore {
+		others = others[len(others)-maxServedBefore:]
+	}
+	r.incarnations = append(slices.Clone(others), present)
+	return others
+}
+
 // removeRecord tries once to delete the record.
 func (r *registrar) removeRecord(ctx context.Context) error {
 	return writeIfUnchanged(ctx, r.store, []*entry{&r.served}, func() ([]store.Op, error) {
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -27,8 +27,10 @@
 	Incarnation int64  `json:"lifetime"`
 	Final       bool   `json:"final,omitempty"`
 	Agents      uint16 `json:"agents,omitempty"`
-	// HandedOverNs is steering.SavedFlows.HandedOverAt, in nanoseconds.
-	HandedOverNs int64 `json:"handed_over_ns,omitempty"`
+	// SavedAtNs is steering.SavedFlows.SavedAt, in nanoseconds, SavedTimeMs is SavedTime, in
+	// Unix milliseconds.
+	SavedAtNs   int64 `json:"saved_at_ns,omitempty"`
+	SavedTimeMs int64 `json:"saved_time_ms,omitempty"`
 	// Registration is the revision of the agent's served entry when the document was
 	// written, 0 if that was by an earlier version.
 	Registration store.Revision  `json:"registration,omitempty"`
@@ -46,7 +48,7 @@
 
 func encodeSaved(saved *steering.SavedFlows, registration store.Revision) ([]byte, error) {
 	doc := savedDocument{
-		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, HandedOverNs: saved.HandedOverAt.Nanoseconds(),
+		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, SavedAtNs: saved.SavedAt.Nanoseconds(), SavedTimeMs: saved.SavedTime.UnixMilli(),
 		Registration: registration, Flows: make([]savedFlowItem, 0, len(saved.Flows)),
 	}
 	for _, f := range saved.Flows {
@@ -66,7 +68,10 @@
 		return nil, err
 	}
 	final := doc.Final && doc.Registration != 0 && doc.Registration == registration
-	out := &steering.SavedFlows{Incarnation: doc.Incarnation, Final: final, HandedOverAt: time.Duration(doc.HandedOverNs), Agents: doc.Agents}
+	out := &steering.SavedFlows{
+		Incarnation: doc.Incarnation, Final: final, SavedAt: time.Duration(doc.SavedAtNs), SavedTime: time.UnixMilli(doc.SavedTimeMs),
+		Agents: doc.Agents,
+	}
 	for _, f := range doc.Flows {
 		caller, callerOK := steering.EndpointOf(f.Caller)
 		address, addressOK := steering.EndpointOf(f.Address)
--- a/internal/direct/saver_test.go
+++ b/internal/direct/saver_test.go
@@ -14,7 +14,7 @@
 	caller, _ := steering.EndpointOf(netip.MustParseAddrPort("100.64.0.1:1025"))
 	address, _ := steering.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443"))
 	want := &steering.SavedFlows{
-		Incarnation: 7, Final: true, HandedOverAt: 90 * time.Minute, Agents: 1100,
+		Incarnation: 7, Final: true, SavedAt: 90 * time.Minute, SavedTime: time.UnixMilli(1_700_000_000_123), Agents: 1100,
 		Flows: []steering.SavedFlow{{
 			Flow: steering.Flow{Caller: caller, Address: address}, Ack: 4_000_000_000, HalfOpen: true, NonIdempotent: true,
 		}},
--- a/internal/direct/views_test.go
+++ b/internal/direct/views_test.go
@@ -27,7 +27,7 @@
 	agent := steering.NewAgent(steering.AgentIdentity{Identity: steering.Identity{Node: "a", Domain: "d"}, Service: "s", HeartbeatInterval: time.Second})
 	now := time.Now()
 	balancer := netip.MustParseAddrPort("10.0.0.2:7000")
-	agent.Step(now, &steering.Heartbeat{Instance: "i", Service: "s", Incarnation: 7, Sequence: 1, Slots: 4})
+	agent.Step(now, &steering.Heartbeat{Instance: "i", Service: "s", Domain: "d", Incarnation: 7, Sequence: 1, Slots: 4})
 	agent.Step(now, &steering.PreviousRecord{})
 	agent.Step(now, &steering.RecordStored{Incarnation: 7})
 	agent.Step(now, &steering.MessageReceived{From: balancer, Message: steering.Message{
