--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -37,6 +37,7 @@
 
 // MembersLoaded is the list of agents in the store.
 type MembersLoaded struct {
+	// Records are in the order in which they were written.
 	Records []AgentRecord
 	// Revision is that of the last change to the records.
 	Revision uint64
@@ -128,7 +129,7 @@
 	for _, m := range s.all {
 		m.listed = false
 	}
-	for _, r := range e.Records {
+	for _, r := range latestByPeer(e.Records) {
 		b.upsertMember(now, r)
 	}
 	b.removeGoneMembers(now)
@@ -137,11 +138,28 @@
 	b.advanceSearches(now)
 }
 
+// latestByPeer returns the last record of each address, in their order. The record of a lost
+// host lapses after its lease only, and another host may have got the address by then.
+func latestByPeer(records []AgentRecord) []AgentRecord {
+	last := make(map[netip.AddrPort]int, len(records))
+	for i, r := range records {
+		last[r.Peer] = i
+	}
+	var latest []AgentRecord
+	for i, r := range records {
+		if last[r.Peer] == i {
+			latest = append(latest, r)
+		}
+	}
+	return latest
+}
+
 func (b *Balancer) upsertMember(now time.Time, r AgentRecord) {
 	m := b.members.byPeer[r.Peer]
 	if m == nil || m.record.Node != r.Node {
 		if m != nil {
 			m.removed = true // another node has taken the address
+			b.removeMemberFromSearches(m)
 		}
 		m = &member{knownSince: now}
 		b.members.byPeer[r.Peer] = m
@@ -161,7 +179,7 @@
 func (b *Balancer) removeGoneMembers(now time.Time) {
 	s := &b.members
 	for _, m := range s.all {
-		if !m.listed && now.Sub(m.lastContact()) > removeAfter {
+		if !m.listed && !m.removed && now.Sub(m.lastContact()) > removeAfter {
 			delete(s.byPeer, m.record.Peer)
 			m.removed = true
 			defer s.rebuildIndex()
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -353,6 +353,24 @@
 	}
 }
 
+// The latest record of an address is that of the host that has it now.
+func TestRecordsAreOrderedByTheirWriting(t *testing.T) {
+	var items []store.KeyValue
+	for revision, node := range map[store.Revision]string{7: "a10", 5: "a9", 9: "a1"} {
+		record := exampleRecord
+		record.Node = node
+		value, err := encodeRecord(&record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		items = append(items, store.KeyValue{Key: "op-agents/" + node, Value: value, ModRevision: revision, Lease: 1})
+	}
+	records, errs := decodeRecords("op-agents/", items)
+	if len(errs) > 0 || len(records) != 3 || records[0].Node != "a9" || records[1].Node != "a10" || records[2].Node != "a1" {
+		t.Errorf("records %+v, errors %v", records, errs)
+	}
+}
+
 func TestReportLimiter(t *testing.T) {
 	var l reportLimiter
 	now := time.Unix(1000, 0)
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -1,10 +1,12 @@
 package direct
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
@@ -79,13 +81,14 @@
 	return ip.Is4() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
 }
 
-// decodeRecords decodes the agents' records, whose keys start with the prefix.
-// It skips malformed ones and returns their errors. Agents write theirs under leases; an
-// entry without one is another writer's, and would stay for ever.
+// decodeRecords decodes the agents' records, whose keys start with the prefix, in the order in
+// which they were written. It skips malformed ones and returns their errors. Agents write theirs
+// under leases; an entry without one is another writer's, and would stay for ever.
 func decodeRecords(prefix string, items []store.KeyValue) ([]steering.AgentRecord, []error) {
 	records := make([]steering.AgentRecord, 0, len(items))
 	var errs []error
-	for _, kv := range items {
+	byRevision := slices.SortedFunc(slices.Values(items), func(x, y store.KeyValue) int { return cmp.Compare(x.ModRevision, y.ModRevision) })
+	for _, kv := range byRevision {
 		node, ok := strings.CutPrefix(kv.Key, prefix)
 		if !ok {
 			continue
