--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -22,6 +22,11 @@
 	// maxRequests bounds the requests over one flow, so that flows of all ages
 	// meet each fault.
 	maxRequests = 60
+	// One flow in idleShare pauses between requests, for up to maxIdlePause: agents don't
+	// learn such flows anew after a restart.
+	idleShare       = 3
+	maxIdlePause    = 6 * time.Second
+	maxIdleRequests = 4
 )
 
 // callers is the callers of a run: each opens a flow, keeps sending requests over
@@ -104,9 +109,14 @@
 	ack, ok := c.open(f)
 	c.count(ok, &c.opened, &c.failedOpens)
 	requests := 1 + rand.IntN(maxRequests)
+	pause := func() time.Duration { return callerPause }
+	if c.run.options.Breadth == All && rand.IntN(idleShare) == 0 {
+		requests = maxIdleRequests
+		pause = func() time.Duration { return time.Duration(rand.Int64N(int64(maxIdlePause))) }
+	}
 	for request := 1; ok && request <= requests && !c.run.stopping.Load(); request++ {
 		ok = c.request(f, ack, request)
-		time.Sleep(callerPause)
+		time.Sleep(pause())
 	}
 }
 
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -74,6 +74,7 @@
 	wide      *rand.Rand // for wide faults, so that a seed gives the others as before
 	links     *rand.Rand // the same for those of datagrams and clocks
 	drills    *rand.Rand // the same for drills of the store
+	outages   *rand.Rand // the same for outages of the store around restarts
 	began     time.Time
 	store     *platformtest.Store
 	balancers []*host
@@ -100,7 +101,7 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		wide: rand.New(rand.NewPCG(o.Seed, 2)), links: rand.New(rand.NewPCG(o.Seed, 3)),
-		drills: rand.New(rand.NewPCG(o.Seed, 4)), began: time.Now(), store: platformtest.NewStore()}
+		drills: rand.New(rand.NewPCG(o.Seed, 4)), outages: rand.New(rand.NewPCG(o.Seed, 5)), began: time.Now(), store: platformtest.NewStore()}
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -121,6 +122,9 @@
 		if o.Breadth == All && r.drills.IntN(drillEvery) == 0 {
 			r.drill()
 		}
+		if o.Breadth == All && r.outages.IntN(outageEvery) == 0 {
+			r.outage()
+		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
 	r.heal()
