--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -23,8 +23,9 @@
 	// complete for one that starts. A process that could not register, which ends a
 	// hand-over, admits no flows before it has run for that time: the one after it starts
 	// too late for a hand-over from before. A restart takes about 0.6 s. A longer time
-	// allows for slower ones and delays new flows during outages of the store.
-	handOverValidity = 1500 * time.Millisecond
+	// allows for slower ones, and delays new flows when agents start during an outage of the
+	// store.
+	handOverValidity = 800 * time.Millisecond
 )
 
 // firstSequence is the sequence number of an incarnation's first heartbeat. No other process
@@ -145,9 +146,12 @@
 // could not be written: later processes can tell that they may have been.
 func (a *Agent) mayServeUnrecorded(now time.Time) bool {
 	t := &a.target
-	registered := t.writtenIncarnation != 0
-	return t.sequence >= unrecordedSequence && now.Sub(t.firstSeen) > registerTimeout &&
-		(registered || now.Sub(a.startedAt) > handOverValidity)
+	if t.writtenIncarnation == 0 && now.Sub(a.startedAt) <= handOverValidity {
+		return false
+	}
+	// If the store has not even answered the first read, there is no write to wait for.
+	waited := !t.previous.known || now.Sub(t.firstSeen) > registerTimeout
+	return waited && t.sequence >= unrecordedSequence
 }
 
 // isCold reports whether the target is in cold start.
