--- a/internal/direct/late_write_test.go
+++ b/internal/direct/late_write_test.go
@@ -31,6 +31,17 @@
 	return nil
 }
 
+// requireUnsureNext checks that the next process of the agent is unsure of a flow that an
+// earlier one may have opened.
+func requireUnsureNext(ctx context.Context, t *testing.T, s *platformtest.Store) {
+	t.Helper()
+	next := newRestoredAgent(s)
+	next.readPrevious(ctx)
+	if got := queryFlow(next.events, 40); got != steering.VerdictUnsure {
+		t.Errorf("verdict %s on a flow that the second process may have opened, want unsure", got)
+	}
+}
+
 // The store executes the hand-over of a stopped agent when its next process has saved its own
 // flows. That must not replace them, nor count as complete for the process after it, which
 // would call the flows of the second one absent (review/3).
@@ -61,11 +72,7 @@
 	stopWithLostHandOver(ctx, s)
 	newRestoredAgent(s).register(ctx)
 	s.ExecuteLate()
-	third := newRestoredAgent(s)
-	third.readPrevious(ctx)
-	if got := queryFlow(third.events, 40); got != steering.VerdictUnsure {
-		t.Errorf("verdict %s on a flow that the second process may have opened, want unsure", got)
-	}
+	requireUnsureNext(ctx, t, s)
 }
 
 // A registration of a stopped agent is executed late, after the next process has registered
@@ -82,11 +89,7 @@
 	first.handOverFlows(ctx)
 	newRestoredAgent(s).register(ctx)
 	s.ExecuteLate()
-	third := newRestoredAgent(s)
-	third.readPrevious(ctx)
-	if got := queryFlow(third.events, 40); got != steering.VerdictUnsure {
-		t.Errorf("verdict %s on a flow that the second process may have opened, want unsure", got)
-	}
+	requireUnsureNext(ctx, t, s)
 }
 
 // A record is deleted late, when the agent has registered its next target.
