Name the check of an overdue heartbeat by what it says

hasHeardSince said the opposite of what a reader expects of the word. A rename and a wrapped line; no behaviour changes. go test ./internal/core/steering ./internal/direct passes.

--- a/internal/core/steering/replacement.go
+++ b/internal/core/steering/replacement.go
@@ -65,12 +65,12 @@
 
 // mayBeAlive reports whether the target has sent a heartbeat within aliveIntervals.
 func (a *Agent) mayBeAlive(now time.Time, t *targetSection) bool {
-	return !t.deregistered && !a.hasHeardSince(now, t.lastHeartbeat)
+	return !t.deregistered && !a.isHeartbeatOverdue(now, t.lastHeartbeat)
 }
 
-// hasHeardSince reports whether the agent has run for aliveIntervals since a time, in which a
-// live target's heartbeat must have come. The time while it was suspended does not count.
-func (a *Agent) hasHeardSince(now, since time.Time) bool {
+// isHeartbeatOverdue reports whether a live target must have sent a heartbeat since a time:
+// aliveIntervals have passed. The time while the agent was suspended does not count.
+func (a *Agent) isHeartbeatOverdue(now, since time.Time) bool {
 	if a.suspensions.resumedAt.After(since) {
 		since = a.suspensions.resumedAt
 	}
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -174,7 +174,7 @@
 // savedTargetEnded reports whether the target whose flows were saved has ended, if another
 // one has sent a heartbeat.
 func (a *Agent) savedTargetEnded(now time.Time, s *SavedFlows) bool {
-	return a.hasHeardSince(now, a.startedAt) || a.hostRestartedSince(s)
+	return a.isHeartbeatOverdue(now, a.startedAt) || a.hostRestartedSince(s)
 }
 
 // savedState describes saved flows for log lines.
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -48,8 +48,9 @@
 
 func encodeSaved(saved *steering.SavedFlows, registration store.Revision) ([]byte, error) {
 	doc := savedDocument{
-		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents, SavedAtNs: saved.SavedAt.Nanoseconds(), SavedTimeMs: saved.SavedTime.UnixMilli(),
-		Registration: registration, Flows: make([]savedFlowItem, 0, len(saved.Flows)),
+		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents,
+		SavedAtNs: saved.SavedAt.Nanoseconds(), SavedTimeMs: saved.SavedTime.UnixMilli(), Registration: registration,
+		Flows: make([]savedFlowItem, 0, len(saved.Flows)),
 	}
 	for _, f := range saved.Flows {
 		doc.Flows = append(doc.Flows, savedFlowItem{f.Flow.Caller.AddrPort(), f.Flow.Address.AddrPort(), f.Ack, f.HalfOpen, f.NonIdempotent})
