Carry the priority and latency objective of routes to agents

Nothing read prio, slo_ms and timeout_ms of a route, so that no decision under overload could use them. The adapter decodes them into Route.Demand; balancers send priority and objective with each segment, in bytes of the header that were unused; status and ping carry what balancers and agents need to compare targets by time. Nodes of the version before read and send the messages as they were. No decision uses the fields yet; tests of the codec, the adapter and the core pass.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -163,7 +163,11 @@
 }
 
 func (b *Balancer) sendSegment(m *member, kind MessageKind, s Segment) {
-	b.send(m, Message{Kind: kind, Segment: s})
+	msg := Message{Kind: kind, Segment: s}
+	if r := b.config.route(s.Flow.Address); r != nil {
+		msg.Demand = r.Demand
+	}
+	b.send(m, msg)
 }
 
 // resetFlow resets a flow towards its caller.
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -139,7 +139,7 @@
 
 // sendOpening offers an opening segment to an agent.
 func (b *Balancer) sendOpening(m *member, s Segment, r *Route, service ServiceID) {
-	b.send(m, Message{Kind: MessageOpen, Service: service, NonIdempotent: r.NonIdempotent, SingleRequest: r.SingleRequest, Segment: s})
+	b.send(m, Message{Kind: MessageOpen, Service: service, NonIdempotent: r.NonIdempotent, SingleRequest: r.SingleRequest, Demand: r.Demand, Segment: s})
 }
 
 // offerNext offers an opening segment to the next agent, or queues it.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -76,13 +76,14 @@
 	RefusedFull                        // the target returned the segment
 	RefusedSilent                      // the target has not responded recently
 	RefusedBusy                        // the target's queue is full
+	RefusedFailing                     // the target fails its requests
 )
 
 // String returns the refusal's name for log lines.
 func (r Refusal) String() string {
 	return [...]string{
-		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent", "busy",
-	}[min(r, RefusedBusy)]
+		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent", "busy", "failing",
+	}[min(r, RefusedFailing)]
 }
 
 // ServiceID identifies a service in messages. It is a hash of the service's name.
@@ -120,6 +121,15 @@
 	// SingleRequestLimit is the number of in-flight requests per slot at which the
 	// agent refuses single-request flows, 0 if unknown.
 	SingleRequestLimit uint8
+	// Ahead is, for each priority, the number of in-flight requests that a new one of the
+	// priority waits for: those of the same or a higher priority, and all that the target
+	// executes.
+	Ahead [NumPriorities]uint16
+	// RequestTime is the mean time of a request that finds a free slot, 0 if unknown.
+	RequestTime time.Duration
+	// Concurrency is the number of requests that the agent lets the target execute at once, 0
+	// if unknown. It is below Slots while the target warms up.
+	Concurrency uint16
 	// Flows is the number of open flows.
 	Flows uint32
 	// Revision is the newest configuration revision that the agent has received.
@@ -143,7 +153,13 @@
 	NonIdempotent bool
 	// SingleRequest reports that the opened flow carries a single request.
 	SingleRequest bool
-	Flow          Flow
+	// Demand is, in a message with a caller's segment, that of the flow's route, zero if
+	// unknown; in one that opens a flow, its objective is what remains of it. The timeout is
+	// not sent.
+	Demand Demand
+	// LastResort reports that no healthy agent could take the opened flow.
+	LastResort bool
+	Flow       Flow
 	// Ack is the caller's acknowledgement number in a query, 0 if the segment has none.
 	Ack uint32
 	// MemberRevision is, in a reply, the revision of the newest list of agents that any
@@ -159,6 +175,9 @@
 	// ListSettled reports, in a ping, that the balancer has had the list of agents long
 	// enough for live agents with lost records to be listed again.
 	ListSettled bool
+	// TypicalRequestTime is, in a ping, the median request time of the service's agents, 0 if
+	// unknown.
+	TypicalRequestTime time.Duration
 	// Agents is, in a ping, the number of agents that the balancer knows; in a reply,
 	// the largest such number that the agent has received recently.
 	Agents  uint16
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -29,6 +29,8 @@
 	NonIdempotent bool
 	// SingleRequest reports that each flow of the route carries a single request.
 	SingleRequest bool
+	// Demand is what operators declared about the route's requests.
+	Demand Demand
 }
 
 // pickService returns the service for a flow. All balancers with the same route
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -15,8 +15,8 @@
 // version is the first byte of every datagram. A node drops other versions.
 const version = 0xA2
 
-// headerSize is the length of version, kind, verdict, refusal (in a message that
-// opens a flow: the bits below) and service, in bytes.
+// headerSize is the length of version, kind, verdict, refusal and service, in bytes. A
+// message with a caller's segment has the bits of demand.go in place of verdict and refusal.
 const headerSize = 8
 
 // Bits of a ping.
@@ -25,12 +25,6 @@
 	pingListSettled
 )
 
-// Bits of a message that opens a flow.
-const (
-	openNonIdempotent = 1 << iota
-	openSingleRequest
-)
-
 var (
 	errTooShort           = errors.New("datagram is too short")
 	errUnsupportedVersion = errors.New("datagram has an unsupported version")
@@ -42,11 +36,11 @@
 
 // Append appends the encoded message.
 func Append(buf []byte, m *steering.Message) []byte {
-	refusalOrBits := byte(m.Refusal)
-	if m.Kind == steering.MessageOpen {
-		refusalOrBits = boolByte(m.NonIdempotent)*openNonIdempotent | boolByte(m.SingleRequest)*openSingleRequest
+	verdict, refusal := byte(m.Verdict), byte(m.Refusal)
+	if carriesDemand(m.Kind) {
+		verdict, refusal = encodeDemand(m)
 	}
-	buf = append(buf, version, byte(m.Kind), byte(m.Verdict), refusalOrBits)
+	buf = append(buf, version, byte(m.Kind), verdict, refusal)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(m.Service))
 	switch m.Kind {
 	case steering.MessageQuery, steering.MessageReply, steering.MessageHeld:
@@ -58,7 +52,8 @@
 		buf = appendLimits(buf, &m.Limits)
 		buf = append(buf, boolByte(m.Unlisted)*pingUnlisted|boolByte(m.ListSettled)*pingListSettled)
 		buf = binary.BigEndian.AppendUint16(buf, m.Agents)
-		return appendAge(buf, m.ConfirmedAge)
+		buf = appendAge(buf, m.ConfirmedAge)
+		return appendMilliseconds(buf, m.TypicalRequestTime)
 	case steering.MessagePong:
 		return appendStatus(buf, &m.Status)
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
@@ -100,7 +95,25 @@
 	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
 	buf = binary.BigEndian.AppendUint16(buf, s.Balancers)
 	buf = append(buf, s.SingleRequestLimit)
-	return appendAge(buf, s.ConfirmedAge)
+	buf = appendAge(buf, s.ConfirmedAge)
+	for _, n := range s.Ahead {
+		buf = binary.BigEndian.AppendUint16(buf, n)
+	}
+	buf = appendMilliseconds(buf, s.RequestTime)
+	return binary.BigEndian.AppendUint16(buf, s.Concurrency)
+}
+
+// appendMilliseconds appends a duration in milliseconds, at least 1 unless it is 0.
+func appendMilliseconds(buf []byte, d time.Duration) []byte {
+	ms := uint16(min(max(d, 0)/time.Millisecond, math.MaxUint16))
+	if d > 0 {
+		ms = max(ms, 1)
+	}
+	return binary.BigEndian.AppendUint16(buf, ms)
+}
+
+func decodeMilliseconds(b []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(b)) * time.Millisecond
 }
 
 // appendAge appends the age of a confirmation, in milliseconds.
@@ -126,6 +139,10 @@
 	statusSize = 34
 	// ageSize is that of the age that follows a ping and a status.
 	ageSize = 2
+	// typicalSize is that of the request time that follows the age in a ping, demandSize
+	// that of the fields that follow it in a status. Nodes of earlier versions send none.
+	typicalSize = 2
+	demandSize  = 2*steering.NumPriorities + 4
 )
 
 // Decode decodes a datagram. The message refers to raw.
@@ -138,11 +155,10 @@
 		return m, errUnsupportedVersion
 	}
 	m.Kind = steering.MessageKind(raw[1])
-	m.Verdict = steering.Verdict(raw[2])
-	if m.Kind == steering.MessageOpen {
-		m.NonIdempotent, m.SingleRequest = raw[3]&openNonIdempotent != 0, raw[3]&openSingleRequest != 0
+	if carriesDemand(m.Kind) {
+		decodeDemand(&m, raw[2], raw[3])
 	} else {
-		m.Refusal = steering.Refusal(raw[3])
+		m.Verdict, m.Refusal = steering.Verdict(raw[2]), steering.Refusal(raw[3])
 	}
 	m.Service = steering.ServiceID(binary.BigEndian.Uint32(raw[4:]))
 	err := decodeBody(&m, raw[headerSize:], decode)
@@ -172,7 +188,9 @@
 		}
 		m.Unlisted, m.ListSettled = body[21]&pingUnlisted != 0, body[21]&pingListSettled != 0
 		m.Agents = binary.BigEndian.Uint16(body[22:])
-		m.ConfirmedAge, err = decodeAge(body[pingSize:])
+		if m.ConfirmedAge, err = decodeAge(body[pingSize:]); err == nil {
+			m.TypicalRequestTime, err = decodeTypical(body[min(len(body), pingSize+ageSize):])
+		}
 	case steering.MessagePong:
 		if len(body) < statusSize {
 			return errTooShort
@@ -188,7 +206,9 @@
 			Revision:          binary.BigEndian.Uint64(body[23:]),
 			Balancers:         binary.BigEndian.Uint16(body[31:]), SingleRequestLimit: body[33],
 		}
-		m.Status.ConfirmedAge, err = decodeAge(body[statusSize:])
+		if m.Status.ConfirmedAge, err = decodeAge(body[statusSize:]); err == nil {
+			err = decodeStatusDemand(&m.Status, body[min(len(body), statusSize+ageSize):])
+		}
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
 		steering.MessageRefused, steering.MessageMissed:
 		m.Segment, err = decode(body)
@@ -198,6 +218,31 @@
 	return err
 }
 
+func decodeTypical(b []byte) (time.Duration, error) {
+	switch {
+	case len(b) == 0:
+		return 0, nil
+	case len(b) < typicalSize:
+		return 0, errTooShort
+	}
+	return decodeMilliseconds(b), nil
+}
+
+func decodeStatusDemand(s *steering.Status, b []byte) error {
+	switch {
+	case len(b) == 0:
+		return nil
+	case len(b) < demandSize:
+		return errTooShort
+	}
+	for i := range s.Ahead {
+		s.Ahead[i] = binary.BigEndian.Uint16(b[2*i:])
+	}
+	b = b[2*steering.NumPriorities:]
+	s.RequestTime, s.Concurrency = decodeMilliseconds(b), binary.BigEndian.Uint16(b[2:])
+	return nil
+}
+
 func decodeEndpoint(b []byte) steering.Endpoint {
 	return steering.Endpoint{IP: [4]byte(b), Port: binary.BigEndian.Uint16(b[4:])}
 }
