--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -267,8 +267,13 @@
 	if local := a.flows.byFlow[s.Flow]; local != nil && !local.responded {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Elapsed: now.Sub(local.lastSegment)})
 	}
+	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && s.Flags.Has(FlagReset) {
+		a.observeOutcome(now, local, outcomeReset, now.Sub(local.deliveredAt))
+	}
 	if elapsed, finished := a.flows.recordTargetSegment(now, &s); finished {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyRequest, Elapsed: elapsed})
+		local := a.flows.byFlow[s.Flow]
+		a.observeOutcome(now, local, outcomeAnswered, now.Sub(local.deliveredAt))
 	}
 	a.emit(Effect{Kind: EffectRespond, Segment: s})
 }
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -61,8 +61,10 @@
 	// arrived, at requestStart.
 	uncontended  bool
 	requestStart time.Time
-	closed       bool
-	lastSegment  time.Time
+	// deliveredAt is when the current request was delivered to the target.
+	deliveredAt time.Time
+	closed      bool
+	lastSegment time.Time
 }
 
 // matchesAck reports whether a segment from the middle of a flow may belong to this
--- /dev/null
+++ b/internal/core/steering/outcome.go
@@ -0,0 +1,21 @@
+package steering
+
+import "time"
+
+// requestOutcome is how a request at the target ended.
+type requestOutcome uint8
+
+const (
+	// outcomeAnswered means that the target has begun to respond.
+	outcomeAnswered requestOutcome = iota
+	// outcomeReset means that the target has reset the flow instead of responding to the
+	// request or to the opening segment.
+	outcomeReset
+)
+
+// observeOutcome passes the outcome of a request, and the time since it was delivered to the
+// target, to the controllers that learn from it.
+func (a *Agent) observeOutcome(_ time.Time, _ *localFlow, _ requestOutcome, _ time.Duration) {}
+
+// concurrency returns the number of requests that the agent lets the target execute at once.
+func (a *Agent) concurrency() int { return a.target.slots }
--- a/internal/core/steering/requests.go
+++ b/internal/core/steering/requests.go
@@ -78,7 +78,7 @@
 	}
 	s.setAwaitingRequest(f, false)
 	s.setBusy(f, true)
-	f.requestStart, f.uncontended = now, s.busy-s.awaitingRequest <= s.slots
+	f.requestStart, f.deliveredAt, f.uncontended = now, now, s.busy-s.awaitingRequest <= s.slots
 }
 
 // finishRequest records that the target has begun to respond. If a request was running
@@ -89,8 +89,9 @@
 		elapsed = now.Sub(f.requestStart)
 	}
 	if finished && f.uncontended {
-		s.meanRequestTime.add(elapsed)
-		s.classRequestTimes[classFor(f.singleRequest)].add(elapsed)
+		served := now.Sub(f.deliveredAt)
+		s.meanRequestTime.add(served)
+		s.classRequestTimes[classFor(f.singleRequest)].add(served)
 	}
 	s.setAwaitingRequest(f, false)
 	s.setBusy(f, false)
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -50,6 +50,7 @@
 	return Status{
 		Incarnation: a.identity.Incarnation, Service: t.service, Refusal: a.checkAdmission(now, t.service, classOther),
 		Slots: uint16(min(t.slots, 1<<16-1)), InFlight: uint16(min(a.flows.busy, 1<<16-1)),
+		Concurrency:        uint16(min(a.concurrency(), 1<<16-1)),
 		RequestsPerSecond:  uint16(min(a.flows.requestsPerSecond(t.slots), 1<<16-1)),
 		SingleRequestLimit: uint8(a.requestLimitPerSlot(classSingleRequest)),
 		Flows:              uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
