Detect failing targets at the agent and stop opening flows there

Targets that went down and up reset each flow at its first request, looked idle and attracted more flows. Targets that answered errors within 1.6 ms, or hung, were not noticed at all.

The agent now classifies the outcome of each request of a route with an objective: answered, too fast, reset, unanswered. A target is failing after three failures or two resets in a row, or after two new flows in a row that were reset at their first requests. Openings are then refused as failing, except for one trial at a time and offers as a last resort. Two answers in a row end the state. An opening that the target rejects goes back to its balancer instead of resetting the caller. Implausible times don't count into the mean request times. Routes without an objective are served as before.

Tests: internal/core, direct, steerwire, docscheck, ctl and platform pass; steering and targethealth five times. Of the existing tests, only the simulated world changed: targets can reset a segment's flow, callers count such resets, and the route has a demand.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -27,7 +27,7 @@
 // AgentCounters counts segments, messages and decisions since the process started.
 type AgentCounters struct {
 	Admitted, RefusedOpen, Delivered, Answered, Missed, Returned, Tried, Queries atomic.Uint64
-	HeartbeatsIgnored, ResetEnded, OpenStale                                     atomic.Uint64
+	HeartbeatsIgnored, ResetEnded, OpenStale, Trials, Rejected                   atomic.Uint64
 }
 
 // Agent decides which segments reach the target beside it.
@@ -43,6 +43,7 @@
 	confirmedAt time.Time
 	coldStart   coldStartLimiter
 	persistence persistenceSection
+	health      healthSection
 	effects     []Effect
 	balancers   balancerSection
 	// memberRevision is the newest revision of the list of agents that a balancer has
@@ -103,7 +104,8 @@
 	case *Stop:
 		a.stopping = true
 	case *Tick:
-		a.flows.sweep(now)
+		a.flows.sweep(now, func(f *localFlow) { a.recordUnanswered(now, f) })
+		a.sweepHealth(now)
 		a.reportSilentTarget(now)
 		a.probeMissingTarget(now)
 		a.balancers.tick(now)
@@ -128,6 +130,7 @@
 		a.answerQuery(unsureQuery{flow: msg.Flow, ack: msg.Ack, from: from})
 	case MessagePing:
 		a.balancers.recordPing(now, from, msg)
+		a.recordTypicalTime(now, msg)
 		a.updateLimits(now, msg)
 		if msg.Unlisted {
 			a.verifyRecord(now, minVerifyInterval)
@@ -144,6 +147,7 @@
 	if local := a.flows.byFlow[s.Flow]; local != nil && !local.closed {
 		// A retransmission, possibly delayed: the target responds to it within its
 		// open flow.
+		local.recordOpeningRepeated(from)
 		a.deliver(from, s)
 		return
 	}
@@ -151,17 +155,21 @@
 		a.Counters.OpenStale.Add(1)
 		return
 	}
-	if refusal := a.checkAdmission(now, msg.Service, classFor(msg.SingleRequest)); refusal != NotRefused {
+	if refusal := a.checkAdmission(now, msg.Service, classFor(msg.SingleRequest), msg); refusal != NotRefused {
 		if refusal == RefusedBusy {
 			a.capacityWaiters.add(from)
 		}
 		a.refuseOpen(from, s, refusal)
+		if refusal == RefusedFailing {
+			a.sendFailing(now, from)
+		}
 		return
 	}
 	if a.target.isCold(now) {
 		a.coldStart.recordOpening(now)
 	}
 	a.flows.addOpening(now, msg)
+	a.recordOfferAdmitted(now, from, msg)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
 	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Revision: a.limits.Revision})
@@ -189,8 +197,8 @@
 }
 
 // checkAdmission returns why the agent refuses a new flow of the service now, or
-// NotRefused if it admits one.
-func (a *Agent) checkAdmission(now time.Time, service ServiceID, class flowClass) Refusal {
+// NotRefused if it admits one. offer is the opening, or nil for whether any may be admitted.
+func (a *Agent) checkAdmission(now time.Time, service ServiceID, class flowClass, offer *Message) Refusal {
 	t := &a.target
 	switch {
 	case a.stopping || t.draining:
@@ -201,6 +209,8 @@
 		return RefusedOtherService
 	case a.limits.DomainOut:
 		return RefusedDomainOut
+	case a.refusesAsFailing(now, offer):
+		return RefusedFailing
 	case a.flows.busy >= t.slots*a.requestLimitPerSlot(class):
 		return RefusedBusy
 	case a.flows.isSilent(now):
@@ -225,6 +235,7 @@
 		if msg.Kind != MessageForward {
 			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
 		}
+		a.recordForwarded(msg)
 		a.flows.recordCallerSegment(now, &s)
 		a.deliver(from, s)
 	case VerdictAbsent, VerdictTried:
@@ -263,6 +274,9 @@
 
 // handleOutbound handles a segment that the target sent.
 func (a *Agent) handleOutbound(now time.Time, s Segment) {
+	if a.returnRejected(now, &s) {
+		return
+	}
 	a.Counters.Answered.Add(1)
 	if local := a.flows.byFlow[s.Flow]; local != nil && !local.responded {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Elapsed: now.Sub(local.lastSegment)})
@@ -270,6 +284,9 @@
 	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && s.Flags.Has(FlagReset) {
 		a.observeOutcome(now, local, outcomeReset, now.Sub(local.deliveredAt))
 	}
+	if local := a.flows.byFlow[s.Flow]; local != nil {
+		a.judgeAnswer(now, local)
+	}
 	if elapsed, finished := a.flows.recordTargetSegment(now, &s); finished {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyRequest, Elapsed: elapsed})
 		local := a.flows.byFlow[s.Flow]
--- a/internal/core/steering/capacity.go
+++ b/internal/core/steering/capacity.go
@@ -29,7 +29,7 @@
 // queued flows, or had some.
 func (a *Agent) notifyCapacity(now time.Time) {
 	w := &a.capacityWaiters
-	if len(w.balancers) == 0 || now.Sub(w.lastNotice) < capacityNoticeInterval || a.checkAdmission(now, a.target.service, classOther) != NotRefused {
+	if len(w.balancers) == 0 || now.Sub(w.lastNotice) < capacityNoticeInterval || a.checkAdmission(now, a.target.service, classOther, nil) != NotRefused {
 		return
 	}
 	to := w.balancers[0]
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -65,6 +65,7 @@
 	deliveredAt time.Time
 	closed      bool
 	lastSegment time.Time
+	health      flowHealth
 }
 
 // matchesAck reports whether a segment from the middle of a flow may belong to this
@@ -242,9 +243,11 @@
 	}
 }
 
-// sweep removes expired state and frees the capacity of stalled requests.
-func (s *flowSection) sweep(now time.Time) {
+// sweep removes expired state and frees the capacity of stalled requests. It calls visit for
+// each flow before.
+func (s *flowSection) sweep(now time.Time, visit func(*localFlow)) {
 	for f, local := range s.byFlow {
+		visit(local)
 		idle := now.Sub(local.lastSegment)
 		if idle > local.ttl() {
 			s.remove(f)
--- a/internal/core/steering/requests.go
+++ b/internal/core/steering/requests.go
@@ -78,6 +78,7 @@
 	}
 	s.setAwaitingRequest(f, false)
 	s.setBusy(f, true)
+	f.health.counted = false
 	f.requestStart, f.deliveredAt, f.uncontended = now, now, s.busy-s.awaitingRequest <= s.slots
 }
 
@@ -88,7 +89,7 @@
 	if finished {
 		elapsed = now.Sub(f.requestStart)
 	}
-	if finished && f.uncontended {
+	if finished && f.uncontended && !f.health.implausible {
 		served := now.Sub(f.deliveredAt)
 		s.meanRequestTime.add(served)
 		s.classRequestTimes[classFor(f.singleRequest)].add(served)
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -8,13 +8,21 @@
 )
 
 // advertiseChange sends the status to all balancers when the agent begins or ceases to
-// open flows, and when it has received a newer configuration revision.
+// open flows, and when it has received a newer configuration revision. A trial at a failing
+// target is not advertised.
 func (a *Agent) advertiseChange(now time.Time) {
-	refusal := a.checkAdmission(now, a.target.service, classOther)
-	changed := refusal != a.sentRefusal && refusal != RefusedCold && refusal != RefusedSilent && refusal != RefusedBusy
+	refusal := a.checkAdmission(now, a.target.service, classOther, nil)
+	if refusal == NotRefused && a.health.detector.Failing() {
+		refusal = RefusedFailing // only a trial is admitted
+	}
+	ceasedFailing := a.sentRefusal == RefusedFailing && !a.health.detector.Failing()
+	changed := ceasedFailing || refusal != a.sentRefusal && refusal != RefusedCold && refusal != RefusedSilent && refusal != RefusedBusy
 	if !changed && a.limits.Revision == a.sentRevision {
 		return
 	}
+	if ceasedFailing && (refusal == RefusedCold || refusal == RefusedSilent || refusal == RefusedBusy) {
+		refusal = NotRefused // these are not advertised
+	}
 	a.sentRefusal, a.sentRevision = refusal, a.limits.Revision
 	for _, to := range slices.SortedFunc(maps.Keys(a.balancers.byPeer), netip.AddrPort.Compare) {
 		a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
@@ -48,7 +56,7 @@
 func (a *Agent) status(now time.Time) Status {
 	t := &a.target
 	return Status{
-		Incarnation: a.identity.Incarnation, Service: t.service, Refusal: a.checkAdmission(now, t.service, classOther),
+		Incarnation: a.identity.Incarnation, Service: t.service, Refusal: a.checkAdmission(now, t.service, classOther, nil),
 		Slots: uint16(min(t.slots, 1<<16-1)), InFlight: uint16(min(a.flows.busy, 1<<16-1)),
 		Concurrency:        uint16(min(a.concurrency(), 1<<16-1)),
 		RequestsPerSecond:  uint16(min(a.flows.requestsPerSecond(t.slots), 1<<16-1)),
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -217,6 +217,7 @@
 		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
 		writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows, replaced: replaced,
 	}
+	a.restartHealth()
 	a.markComplete(complete)
 	a.report(Report{Text: "Target is known.", Node: h.Instance, Why: h.Service, Incarnation: h.Incarnation})
 	a.applySavedFlows(now)
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -47,6 +47,8 @@
 	LastSeenMS int64 `json:"heard_ms"`
 	// Complete reports that the agent has seen all flows of this incarnation.
 	Complete bool `json:"complete"`
+	// Failing is why the target gets no new flows but trials, empty if it is not failing.
+	Failing string `json:"failing,omitempty"`
 }
 
 // PeerView is an agent that a balancer knows, or a balancer that has pinged an
@@ -132,7 +134,7 @@
 	t := &a.target
 	v := View{
 		Role: "agent", Node: a.identity.Node, Domain: a.identity.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
-		Refusal: a.checkAdmission(now, t.service, classOther).String(), Peers: []PeerView{},
+		Refusal: a.checkAdmission(now, t.service, classOther, nil).String(), Peers: []PeerView{},
 	}
 	if a.limits.DomainOut {
 		v.DomainsOut = []string{a.identity.Domain}
@@ -141,6 +143,7 @@
 		v.Target = &TargetView{
 			Instance: t.instance, Service: t.name, Incarnation: t.incarnation, Draining: t.draining, Slots: t.slots,
 			InFlight: a.flows.busy, LastSeenMS: ageMS(now, t.lastHeartbeat), Complete: t.knowsAllFlows(),
+			Failing: a.health.detector.Reason(),
 		}
 	}
 	for address, b := range a.balancers.byPeer {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -70,6 +70,8 @@
 	storeSilent bool
 	// idempotent makes the requests of the route idempotent.
 	idempotent bool
+	// demand is that of the route.
+	demand steering.Demand
 }
 
 // savedFlows is the flows that an agent has saved, and its registrations until then.
@@ -134,7 +136,9 @@
 	up       bool
 	draining bool
 	// dropsSegments makes the target lose every segment; heartbeats continue.
-	dropsSegments  bool
+	dropsSegments bool
+	// fault makes the target reset the flow of each segment for which it returns true.
+	fault          func(s steering.Segment) bool
 	incarnation    int64
 	sequence       int64
 	flows          map[steering.Flow]*targetFlow
@@ -162,6 +166,7 @@
 	requests          int
 	awaitsResponse    bool
 	reset             bool
+	resetByTarget     bool
 	// ack is the sequence number up to which the caller has received data.
 	ack uint32
 	// misdirected is when segments reached other targets since one last reached the
@@ -228,7 +233,7 @@
 	for d, is := range w.domainsOut {
 		out[d] = is
 	}
-	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent}
+	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent, Demand: w.demand}
 	w.stepBalancer(b, &steering.ConfigurationLoaded{State: steering.OperatorState{
 		Revision: w.revision, VerifiedRevision: w.revision, DomainsOut: out,
 		Configuration: &steering.Configuration{Version: w.version, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
@@ -461,6 +466,11 @@
 		return
 	}
 	w.checkMisdirection(a, s)
+	if t.fault != nil && t.fault(s) {
+		delete(t.flows, s.Flow)
+		w.sendFromTarget(a, t, steering.Segment{Flow: s.Flow, Flags: steering.FlagReset})
+		return
+	}
 	if s.IsOpening() {
 		if t.flows[s.Flow] == nil {
 			t.flows[s.Flow] = &targetFlow{seq: w.rand.Uint32()}
@@ -557,6 +567,10 @@
 		if c == nil || c.reset {
 			return
 		}
+		if s.Flags.Has(steering.FlagReset) {
+			c.reset, c.resetByTarget = true, true
+			return
+		}
 		if s.Flags.Has(steering.FlagOpen) {
 			if c.holder != nil || w.now.Sub(c.startedAt) > attemptTimeout {
 				return
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -226,5 +226,7 @@
 		"direct_heartbeats_ignored": &c.HeartbeatsIgnored,
 		"direct_reset_ended":        &c.ResetEnded,
 		"direct_open_stale":         &c.OpenStale,
+		"direct_trials":             &c.Trials,
+		"direct_rejected":           &c.Rejected,
 	}
 }
