Count demand by service and priority and show it

Operators could not see which service and priority an overload hits: counters of openings were totals of a node, and the status command named no service.

Balancers count openings asked, queued, offered to another agent, admitted, admitted late and refused by reason, for each service and priority in force. Agents count those admitted and refused by reason. A configuration names its services for that.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -37,6 +37,7 @@
 	identity AgentIdentity
 	target   targetSection
 	flows    flowSection
+	demand   demandCounters
 	limits   Limits
 	// confirmedAt is when the store last told a balancer that no newer limits exist, zero
 	// if unknown.
@@ -69,7 +70,7 @@
 
 // NewAgent returns an agent that knows no target yet.
 func NewAgent(identity AgentIdentity) *Agent {
-	return &Agent{identity: identity, flows: newFlowSection(), balancers: newBalancerSection()}
+	return &Agent{identity: identity, flows: newFlowSection(), balancers: newBalancerSection(), demand: make(demandCounters)}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -155,6 +156,7 @@
 		if refusal == RefusedBusy {
 			a.capacityWaiters.add(from)
 		}
+		a.countRefused(msg.Demand, refusal)
 		a.refuseOpen(from, s, refusal)
 		return
 	}
@@ -164,6 +166,7 @@
 	a.flows.addOpening(now, msg)
 	a.flows.slots = a.target.slots
 	a.Counters.Admitted.Add(1)
+	a.countAdmitted(msg)
 	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Revision: a.limits.Revision})
 	a.deliver(from, s)
 }
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -34,6 +34,7 @@
 	confirmation confirmationSection
 	members      memberSection
 	entries      map[Flow]*flowEntry
+	demand       demandCounters
 
 	searches    []Flow
 	queues      [numFlowClasses][]Flow
@@ -49,7 +50,7 @@
 func NewBalancer(identity BalancerIdentity) *Balancer {
 	return &Balancer{
 		identity: identity, confirmation: newConfirmationSection(identity),
-		members: newMemberSection(), entries: make(map[Flow]*flowEntry),
+		members: newMemberSection(), entries: make(map[Flow]*flowEntry), demand: make(demandCounters),
 	}
 }
 
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -47,9 +47,9 @@
 	search     *search
 	// trials counts the trial deliveries to unsure agents.
 	trials int
-	// queuedSegment is the opening segment that waits since queuedAt. firstSent is when
-	// the caller sent the first copy, by the copies' schedule; lastCopy is the number of
-	// its last retransmission.
+	// firstSent is when the caller sent the first copy of the opening segment, by the
+	// copies' schedule. queuedSegment is that segment, if it waits since queuedAt; lastCopy
+	// is the number of its last retransmission.
 	queuedSegment Segment
 	queuedAt      time.Time
 	firstSent     time.Time
@@ -111,6 +111,7 @@
 		b.Counters.OpenStale.Add(1)
 		return
 	}
+	b.countAsked(&s, r)
 	e := b.touchEntry(now, s.Flow)
 	retransmitted := s.Ack > 0
 	switch {
@@ -127,7 +128,7 @@
 		e.lastCopy = max(e.lastCopy, s.Ack)
 		return
 	}
-	*e = flowEntry{lastSeen: now}
+	*e = flowEntry{lastSeen: now, firstSent: now.Add(-copyAge(s.Ack))}
 	b.offerNext(now, e, s, r)
 }
 
@@ -157,6 +158,7 @@
 	if !e.queuedAt.IsZero() {
 		b.emit(Effect{Kind: EffectObserve, Latency: LatencyQueue, Elapsed: now.Sub(e.queuedAt)})
 	}
+	b.countOffer(e, s.Flow, r)
 	e.recordOffer(m)
 	e.setStage(stageOpening, m, now)
 	m.openedSince++
@@ -203,6 +205,7 @@
 	}
 	switch e.stage {
 	case stageOpening, stageHeld:
+		b.countAdmitted(now, e, &s)
 		e.stage = stageHeld
 		b.Counters.Forwarded.Add(1)
 		b.sendSegment(e.agent, MessageForward, s)
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -75,6 +75,7 @@
 			return
 		}
 		b.Counters.Queued.Add(1)
+		b.countOpeningQueued(s.Flow, r)
 		e.firstSent = now.Add(-copyAge(s.Ack))
 		e.queuedSegment, e.lastCopy = s, s.Ack
 		e.queuedSegment.Raw = slices.Clone(s.Raw)
@@ -109,6 +110,7 @@
 // abandonOpening drops an opening segment. The caller retries by itself.
 func (b *Balancer) abandonOpening(f Flow, r *Route, reason string) {
 	b.Counters.OpenExpired.Add(1)
+	b.countRefused(f, r, reason)
 	b.report(Report{Text: "Opening segment is dropped.", Flow: f, Route: r.Name, Why: reason, Version: b.Version()})
 	delete(b.entries, f)
 }
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -63,6 +63,8 @@
 	// ColdOpensPerSecond is the rate at which a cold target of a service can accept new
 	// flows.
 	ColdOpensPerSecond map[ServiceID]float32
+	// ServiceNames are the names of the declared services and of those of routes.
+	ServiceNames map[ServiceID]string
 }
 
 // OperatorState is everything that operators have written to the store.
@@ -148,6 +150,7 @@
 		b.announceConfirmation(now)
 		return
 	}
+	b.demand.retain(b.config.state.Configuration)
 	b.refreshRequested = false // announceChange reaches more agents
 	if version := b.Version(); version > 0 {
 		report := Report{Text: "Configuration is in force.", Version: version, Revision: b.config.state.Revision}
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -26,6 +26,9 @@
 	// segment waits for an agent.
 	Flows  int `json:"flows"`
 	Queued int `json:"waiting,omitempty"`
+	// Demand is the totals and waiting flows by service and priority: at a balancer all of
+	// DemandView, at an agent what it admitted and refused.
+	Demand []DemandView `json:"demand,omitempty"`
 	// Target is the target beside an agent, nil if unknown.
 	Target *TargetView `json:"target,omitempty"`
 	// Refusal is why an agent opens no flows at present, "none" if it does.
@@ -97,7 +100,7 @@
 func (b *Balancer) View(now time.Time) View {
 	v := View{
 		Role: "balancer", Node: b.identity.Node, Domain: b.identity.Domain, Version: b.Version(), Revision: b.config.state.Revision,
-		ConfirmedMS: ageMS(now, b.confirmation.knownAt), Flows: len(b.entries), Queued: b.countQueued(), Peers: []PeerView{},
+		ConfirmedMS: ageMS(now, b.confirmation.knownAt), Flows: len(b.entries), Queued: b.countQueued(), Demand: b.demandViews(now), Peers: []PeerView{},
 	}
 	for _, domain := range slices.Sorted(maps.Keys(b.config.state.DomainsOut)) {
 		if b.config.state.DomainsOut[domain] {
@@ -134,6 +137,9 @@
 		Role: "agent", Node: a.identity.Node, Domain: a.identity.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
 		Refusal: a.checkAdmission(now, t.service, classOther).String(), Peers: []PeerView{},
 	}
+	for _, c := range a.DemandCounts() {
+		v.Demand = append(v.Demand, DemandView{DemandCount: c})
+	}
 	if a.limits.DomainOut {
 		v.DomainsOut = []string{a.identity.Domain}
 	}
--- a/internal/ctl/direct.go
+++ b/internal/ctl/direct.go
@@ -1,8 +1,10 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -78,7 +80,79 @@
 	for _, s := range r.Failed {
 		fmt.Fprintf(a.Stdout, "%s did not answer: %s\n", s.Address, s.Error)
 	}
-	return nil
+	return a.printDemand(r)
+}
+
+// demandRow is a row of the demand table: the sum over the hosts of a role.
+type demandRow struct {
+	steering.DemandView
+	role string
+}
+
+// printDemand prints what callers asked for by service, priority and role of the host.
+func (a *App) printDemand(r directReport) error {
+	rows := sumDemand(r.Hosts)
+	if len(rows) == 0 {
+		return nil
+	}
+	fmt.Fprintln(a.Stdout)
+	t := newTable("SERVICE", "PRIORITY", "COUNTED BY", "ASKED", "ADMITTED", "LATE", "WAITING", "OLDEST", "REFUSED")
+	for _, row := range rows {
+		oldest := ""
+		if row.Waiting > 0 {
+			oldest = strconv.FormatInt(row.OldestWaitMS, 10) + " ms"
+		}
+		t.addRow(row.Service, strconv.Itoa(int(row.Priority)), row.role+"s", formatCount(row.Asked), formatCount(row.Admitted),
+			formatCount(row.Late), formatNonZero64(int64(row.Waiting)), oldest, formatReasons(row.Refused))
+	}
+	return t.print(a.Stdout)
+}
+
+// sumDemand sums the demand over the hosts of each role, sorted by service, priority and role.
+func sumDemand(hosts []hostView) []*demandRow {
+	type key struct {
+		service, role string
+		priority      uint8
+	}
+	sums := make(map[key]*demandRow)
+	for _, h := range hosts {
+		for _, d := range h.Demand {
+			k := key{d.Service, h.Role, d.Priority}
+			if sums[k] == nil {
+				sums[k] = &demandRow{role: h.Role, DemandView: steering.DemandView{DemandCount: steering.DemandCount{
+					Service: d.Service, Priority: d.Priority, Refused: make(map[string]uint64),
+				}}}
+			}
+			sums[k].add(d)
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(x, y *demandRow) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Priority, y.Priority), -cmp.Compare(x.role, y.role))
+	})
+}
+
+// add adds the demand at a host.
+func (r *demandRow) add(d steering.DemandView) {
+	r.Asked += d.Asked
+	r.Admitted += d.Admitted
+	r.Late += d.Late
+	r.Waiting += d.Waiting
+	r.OldestWaitMS = max(r.OldestWaitMS, d.OldestWaitMS)
+	for reason, n := range d.Refused {
+		r.Refused[reason] += n
+	}
+}
+
+// formatCount formats a total, or returns "" if it is 0.
+func formatCount(n uint64) string { return formatNonZero64(int64(n)) }
+
+// formatReasons formats the numbers of refusals by reason.
+func formatReasons(reasons map[string]uint64) string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, reasons[reason]))
+	}
+	return strings.Join(parts, ", ")
 }
 
 // formatNonZero64 formats a number, or returns "" if it is 0.
--- a/internal/ctl/direct_test.go
+++ b/internal/ctl/direct_test.go
@@ -53,12 +53,17 @@
 	t.Helper()
 	agent := startHost(t, "127.0.0.11:0", steering.View{
 		Role: "agent", Node: "agent-1", Domain: "a", Revision: 9, Flows: 3, Refusal: "draining",
+		Demand: []steering.DemandView{{DemandCount: steering.DemandCount{Service: "desk", Priority: 1, Admitted: 30, Refused: map[string]uint64{"draining": 2, "busy": 5}}}},
 		Target: &steering.TargetView{Instance: "i-1", Service: "desk", Slots: 4, InFlight: 2, LastSeenMS: 340},
 		Peers:  []steering.PeerView{newPeerView("127.0.0.12", 100)},
 	}, steering.FlowView{Role: "agent", Node: "agent-1", Known: true, State: "held", LastSeenMS: 1250, RequestInFlight: true})
 	balancer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.12"), agent.Port())
 	startHost(t, balancer.String(), steering.View{
 		Role: "balancer", Node: "balancer-1", Domain: "a", Version: 4, Revision: 9, ConfirmedMS: 1100, Flows: 2, DomainsOut: []string{"b"},
+		Demand: []steering.DemandView{
+			{DemandCount: steering.DemandCount{Service: "desk", Priority: 1, Asked: 41, Admitted: 30, Queued: 9, Late: 4}, Waiting: 3, OldestWaitMS: 340},
+			{DemandCount: steering.DemandCount{Service: "desk", Priority: 2, Asked: 7, Refused: map[string]uint64{"overload": 7}}},
+		},
 		Peers: []steering.PeerView{newPeerView("127.0.0.11", 40), newPeerView("127.0.0.13", -1)},
 	}, steering.FlowView{Role: "balancer", Node: "balancer-1", State: "unknown", LastSeenMS: -1})
 	return agent.String()
@@ -89,7 +94,11 @@
 	requireOutput(t, out,
 		"balancer-1 balancer a 4 9 1.1 s ago 2 - 1 of 2 agents answered, out: b",
 		"agent-1 agent a - 9 - 3 - refuses: draining, i-1 of desk, 2 in work on 4 slots, heard 0.3 s ago",
-		"127.0.0.13", "did not answer")
+		"127.0.0.13", "did not answer",
+		"SERVICE PRIORITY COUNTED BY ASKED ADMITTED LATE WAITING OLDEST REFUSED",
+		"desk 1 balancers 41 30 4 3 340 ms -",
+		"desk 1 agents - 30 - - - busy 5, draining 2",
+		"desk 2 balancers 7 - - - - overload 7")
 }
 
 func TestDirectExplainShowsTheFlowAtEachHost(t *testing.T) {
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -87,7 +87,7 @@
 	return nil
 }
 
-// gaugeInterval is the interval at which gauges are updated.
+// gaugeInterval is the interval at which gauges and counters with tags are updated.
 const gaugeInterval = time.Second
 
 // updateGauges updates the gauges of what the balancer believes about the configuration.
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -68,6 +68,7 @@
 	Step(now time.Time, e steering.Event) []steering.Effect
 	View(now time.Time) steering.View
 	Explain(now time.Time, f steering.Flow) steering.FlowView
+	DemandCounts() []steering.DemandCount
 }
 
 // node is the part that balancers and agents have in common.
@@ -217,6 +218,7 @@
 	n.wg.Go(func() { readDatagrams(n.peerConn, n.handlePeerDatagram) })
 	n.wg.Go(func() { n.runEvery(tick, func() { n.handleEvent(&steering.Tick{}) }) })
 	n.wg.Go(func() { roleCounters.Report(n.ctx, n.metrics) })
+	n.wg.Go(func() { n.runEvery(gaugeInterval, newDemandReporter(n.metrics, n.demandCounts).report) })
 	return nil
 }
 
