Start new and recovered targets slowly

A target that has just started or recovered got as many requests as one that is warm, and its queue filled while it was slow.

The agent now limits how many requests such a target executes at once (package internal/core/pacing): a third of the slots at first, one more for each answer in the usual time and for each 250 ms without waiting requests, half after two slow answers in a row or a reset. The limit acts only for targets whose routes declare an objective, and is reported as Concurrency. The setting pace of the direct agent switches it off.

The effect on callers is not measured: admission does not use the limit yet.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -22,6 +22,9 @@
 	StartedAt time.Duration
 	// HeartbeatInterval is the interval between heartbeats of the target.
 	HeartbeatInterval time.Duration
+	// Pace limits the concurrency of a new or recovered target; without it, all slots are
+	// used at once.
+	Pace bool
 }
 
 // AgentCounters counts segments, messages and decisions since the process started.
@@ -60,6 +63,11 @@
 	stopping        bool
 	capacityWaiters capacityWaitList
 	suspensions     suspensionDetector
+	pace            paceSection
+	// typicalRequestTime is the newest typical request time of the service that a balancer
+	// has reported, typicalRequestTimeAt when it came.
+	typicalRequestTime   time.Duration
+	typicalRequestTimeAt time.Time
 }
 
 // Stop begins a graceful shutdown of the agent: no more flows are admitted.
@@ -83,6 +91,7 @@
 	}
 	a.flows.expireAwaitedRequests(now)
 	a.endReplaced(now)
+	a.advancePace(now)
 	switch e := e.(type) {
 	case *SegmentReceived:
 		a.handleOutbound(now, e.Segment)
@@ -120,8 +129,10 @@
 func (a *Agent) handleMessage(now time.Time, from netip.AddrPort, msg *Message) {
 	switch msg.Kind {
 	case MessageOpen:
+		a.recordObjective(now, msg)
 		a.handleOpen(now, from, msg)
 	case MessageForward, MessageProbe, MessageTrial:
+		a.recordObjective(now, msg)
 		a.handleForward(now, from, msg)
 	case MessageQuery:
 		a.Counters.Queries.Add(1)
@@ -129,6 +140,7 @@
 	case MessagePing:
 		a.balancers.recordPing(now, from, msg)
 		a.updateLimits(now, msg)
+		a.recordTypicalRequestTime(now, msg)
 		if msg.Unlisted {
 			a.verifyRecord(now, minVerifyInterval)
 		}
--- a/internal/core/steering/outcome.go
+++ b/internal/core/steering/outcome.go
@@ -15,7 +15,9 @@
 
 // observeOutcome passes the outcome of a request, and the time since it was delivered to the
 // target, to the controllers that learn from it.
-func (a *Agent) observeOutcome(_ time.Time, _ *localFlow, _ requestOutcome, _ time.Duration) {}
+func (a *Agent) observeOutcome(now time.Time, _ *localFlow, outcome requestOutcome, elapsed time.Duration) {
+	a.paceOutcome(now, outcome, elapsed)
+}
 
 // concurrency returns the number of requests that the agent lets the target execute at once.
-func (a *Agent) concurrency() int { return a.target.slots }
+func (a *Agent) concurrency() int { return a.pacedConcurrency(a.suspensions.lastStep) }
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -192,6 +192,7 @@
 	t.slots = h.Slots
 	t.lastHeartbeat = now
 	t.coldUntil = now.Add(h.ColdRemaining)
+	a.paceHeartbeat(now, h)
 }
 
 func (a *Agent) ignoreHeartbeat(h *Heartbeat, why string) {
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -41,6 +41,8 @@
 	Incarnation int64 `json:"lifetime"`
 	Draining    bool  `json:"draining"`
 	Slots       int   `json:"slots"`
+	// Concurrency is the number of requests that the agent lets the target execute at once.
+	Concurrency int `json:"concurrency"`
 	// InFlight is the number of requests queued or executing.
 	InFlight int `json:"work"`
 	// LastSeenMS is the age of the last heartbeat.
@@ -140,7 +142,7 @@
 	if t.known {
 		v.Target = &TargetView{
 			Instance: t.instance, Service: t.name, Incarnation: t.incarnation, Draining: t.draining, Slots: t.slots,
-			InFlight: a.flows.busy, LastSeenMS: ageMS(now, t.lastHeartbeat), Complete: t.knowsAllFlows(),
+			Concurrency: a.pacedConcurrency(now), InFlight: a.flows.busy, LastSeenMS: ageMS(now, t.lastHeartbeat), Complete: t.knowsAllFlows(),
 		}
 	}
 	for address, b := range a.balancers.byPeer {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -278,7 +278,7 @@
 func (w *world) startAgent(a *agentNode) {
 	a.core = steering.NewAgent(steering.AgentIdentity{
 		Identity: steering.Identity{Node: a.name, Domain: a.domain}, Service: serviceName, Peer: a.addr,
-		Incarnation: uint64(w.now.UnixNano()), StartedAt: w.hostTime(a), HeartbeatInterval: heartbeatInterval,
+		Incarnation: uint64(w.now.UnixNano()), StartedAt: w.hostTime(a), HeartbeatInterval: heartbeatInterval, Pace: true,
 	})
 	a.up = true
 	a.incarnation++
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -55,6 +55,7 @@
 			Incarnation:       uint64(time.Now().UnixNano()),
 			StartedAt:         startedAt,
 			HeartbeatInterval: s.HeartbeatInterval,
+			Pace:              s.Pace,
 		}),
 	}
 	a.core, a.performRoleEffect = a.steering, a.performAgentEffect
@@ -97,6 +98,7 @@
 	if err := a.startCommon(metrics, a.ready, agentTickInterval, a.countersByName()); err != nil {
 		return err
 	}
+	a.wg.Go(func() { a.runEvery(gaugeInterval, a.updateGauges) })
 	a.wg.Go(func() { readDatagrams(a.targetConn, a.handleTargetSegment) })
 	registrarCtx, cancel := context.WithCancel(a.ctx)
 	registrarDone := make(chan struct{})
@@ -112,6 +114,14 @@
 	return nil
 }
 
+// updateGauges updates the gauges of what the agent has decided.
+func (a *Agent) updateGauges() {
+	a.mu.Lock()
+	limit := a.steering.Concurrency(time.Now())
+	a.mu.Unlock()
+	a.metrics.Gauge("direct_concurrency_limit").Update(float64(limit))
+}
+
 // acceptHeartbeat passes a heartbeat to the core, or returns why it is not the target's.
 func (a *Agent) acceptHeartbeat(h *steering.Heartbeat) error {
 	a.mu.Lock()
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -73,6 +73,9 @@
 	// HeartbeatInterval is the interval between the target's heartbeats. Default
 	// 1s.
 	HeartbeatInterval time.Duration `toml:"heartbeat_interval"`
+	// Pace limits the concurrency of a new or recovered target whose routes declare an
+	// objective. Default true. False uses all slots at once.
+	Pace bool `toml:"pace"`
 }
 
 // Defaults and ranges of the settings for direct server return.
@@ -142,6 +145,8 @@
 		nameField("service", "Service that the host is assigned to.", &a.Service),
 		durationField("heartbeat_interval", "Interval between the target's heartbeats.",
 			defaultHeartbeatInterval, minHeartbeatInterval, maxHeartbeatInterval, &a.HeartbeatInterval),
+		boolField("pace", "Whether a new or recovered target starts with a third of its slots, if its routes declare an objective. False uses all slots at once.",
+			true, &a.Pace),
 	)
 	s.checks = append(s.checks, func(p *parseState) {
 		checkAddressConflicts(p, []listener{{"ready", a.Ready}, {"metrics", a.Metrics}, {"announce", a.Announce}})
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -54,6 +55,19 @@
 	}}
 }
 
+func boolField(name, description string, def bool, dst *bool) field {
+	key := Key{Name: name, Type: "boolean", Default: strconv.FormatBool(def), Range: "true, false", Description: description}
+	*dst = def
+	return field{key, func(p *parseState, value any) {
+		b, ok := value.(bool)
+		if !ok {
+			p.reportf(name, "must be a boolean, not %s", typeName(value))
+			return
+		}
+		*dst = b
+	}}
+}
+
 func durationField(name, description string, def, low, high time.Duration, dst *time.Duration) field {
 	key := Key{
 		Name: name, Type: "duration string", Unit: "ms, s, m, h", Default: quote(formatDuration(def)),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,6 +113,41 @@
 	}
 }
 
+const validDirectAgent = `
+node = "target-1"
+domain = "om-north-a"
+segments = "127.0.0.1:7000"
+peer = "127.0.0.1:7001"
+ready = "127.0.0.1:7002"
+metrics = "127.0.0.1:7003"
+outbound = "127.0.0.1:7004"
+announce = "127.0.0.1:7005"
+target = "127.0.0.1:7006"
+service = "feed"
+`
+
+// Pacing is on unless operators switch it off; a string such as "false" must not pass for a
+// boolean.
+func TestPaceOfDirectAgent(t *testing.T) {
+	dir := t.TempDir()
+	for _, c := range []struct {
+		text string
+		want bool
+	}{{"", true}, {"pace = true\n", true}, {"pace = false\n", false}} {
+		a, err := LoadDirectAgent(writeFile(t, dir, "a.toml", validDirectAgent+c.text+"[store]\naddress = \"127.0.0.1:7100\"\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Pace != c.want {
+			t.Errorf("%q: pace %v", c.text, a.Pace)
+		}
+	}
+	_, err := LoadDirectAgent(writeFile(t, dir, "a.toml", validDirectAgent+"pace = \"false\"\n[store]\naddress = \"127.0.0.1:7100\"\n"))
+	if err == nil || !strings.Contains(err.Error(), "pace: must be a boolean, not a string") {
+		t.Errorf("a string: %v", err)
+	}
+}
+
 func TestAllFindingsAreReportedTogether(t *testing.T) {
 	const bad = `node = "entry 1"
 domain = 7
