--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -280,4 +280,4 @@
 }
 
 // targetRecovered is called when the target is no longer failing.
-func (a *Agent) targetRecovered(time.Time) {}
+func (a *Agent) targetRecovered(now time.Time) { a.pace.Restart(now) }
--- a/internal/core/steering/outcome.go
+++ b/internal/core/steering/outcome.go
@@ -17,7 +17,8 @@
 // target, to the controllers that learn from it.
 func (a *Agent) observeOutcome(now time.Time, f *localFlow, outcome requestOutcome, elapsed time.Duration) {
 	a.recordHealth(now, f, outcome, elapsed)
+	a.paceOutcome(now, outcome, elapsed)
 }
 
 // concurrency returns the number of requests that the agent lets the target execute at once.
-func (a *Agent) concurrency() int { return a.target.slots }
+func (a *Agent) concurrency() int { return a.pacedConcurrency(a.suspensions.lastStep) }
