Keep requests at the agent while their target is full; admit by time

Requests on open flows filled the slots and the queue of a target, whatever their priority. For flows of routes with an objective, the agent now keeps requests beyond the concurrency and a reserve of a third of the slots, and delivers them by priority and time as responses free places. Openings are admitted if a slot is free or half of what remains of the objective suffices; notices of capacity go to the balancer with the most important demand first. The status has Ahead and RequestTime. Routes without an objective are served as before.

The simulated callers of world_test.go sent each request with the same sequence number, which no caller does and which now marks a repeated segment; they advance it.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -28,6 +28,7 @@
 type AgentCounters struct {
 	Admitted, RefusedOpen, Delivered, Answered, Missed, Returned, Tried, Queries atomic.Uint64
 	HeartbeatsIgnored, ResetEnded, OpenStale                                     atomic.Uint64
+	RequestsKept, RequestsReleased, RequestsAbandoned                            atomic.Uint64
 }
 
 // Agent decides which segments reach the target beside it.
@@ -103,6 +104,7 @@
 	case *Stop:
 		a.stopping = true
 	case *Tick:
+		a.flows.discardStalled(now)
 		a.flows.sweep(now)
 		a.reportSilentTarget(now)
 		a.probeMissingTarget(now)
@@ -112,6 +114,8 @@
 		a.restoreSavedFlows(now, e)
 	}
 	a.answerUnsureQueries()
+	a.releaseRequests(now)
+	a.reportDiscarded(now)
 	a.advertiseChange(now)
 	a.notifyCapacity(now)
 	return a.effects
@@ -151,9 +155,9 @@
 		a.Counters.OpenStale.Add(1)
 		return
 	}
-	if refusal := a.checkAdmission(now, msg.Service, classFor(msg.SingleRequest)); refusal != NotRefused {
+	if refusal := a.checkOpening(now, msg.Service, classFor(msg.SingleRequest), msg.Demand); refusal != NotRefused {
 		if refusal == RefusedBusy {
-			a.capacityWaiters.add(from)
+			a.capacityWaiters.add(from, msg.Demand)
 		}
 		a.refuseOpen(from, s, refusal)
 		return
@@ -188,9 +192,9 @@
 	return maxRequestsPerSlot
 }
 
-// checkAdmission returns why the agent refuses a new flow of the service now, or
-// NotRefused if it admits one.
-func (a *Agent) checkAdmission(now time.Time, service ServiceID, class flowClass) Refusal {
+// checkOpening returns why the agent refuses a new flow of the service now, or NotRefused if
+// it admits one. The objective is what remains of it.
+func (a *Agent) checkOpening(now time.Time, service ServiceID, class flowClass, demand Demand) Refusal {
 	t := &a.target
 	switch {
 	case a.stopping || t.draining:
@@ -201,7 +205,7 @@
 		return RefusedOtherService
 	case a.limits.DomainOut:
 		return RefusedDomainOut
-	case a.flows.busy >= t.slots*a.requestLimitPerSlot(class):
+	case a.isBusy(class, demand):
 		return RefusedBusy
 	case a.flows.isSilent(now):
 		return RefusedSilent
@@ -225,8 +229,7 @@
 		if msg.Kind != MessageForward {
 			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
 		}
-		a.flows.recordCallerSegment(now, &s)
-		a.deliver(from, s)
+		a.scheduleSegment(now, from, msg)
 	case VerdictAbsent, VerdictTried:
 		a.sendMissed(from, s, VerdictAbsent)
 	case VerdictUnsure:
@@ -267,7 +270,7 @@
 	if local := a.flows.byFlow[s.Flow]; local != nil && !local.responded {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Elapsed: now.Sub(local.lastSegment)})
 	}
-	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && s.Flags.Has(FlagReset) {
+	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && local.kept == nil && s.Flags.Has(FlagReset) {
 		a.observeOutcome(now, local, outcomeReset, now.Sub(local.deliveredAt))
 	}
 	if elapsed, finished := a.flows.recordTargetSegment(now, &s); finished {
--- a/internal/core/steering/capacity.go
+++ b/internal/core/steering/capacity.go
@@ -15,25 +15,70 @@
 // is notified and offers its newest flow. If all were notified, or retried on their
 // own, many would compete for each slot.
 type capacityWaitList struct {
-	balancers  []netip.AddrPort
+	waiters    []capacityWaiter
 	lastNotice time.Time
 }
 
-func (w *capacityWaitList) add(balancer netip.AddrPort) {
-	if !slices.Contains(w.balancers, balancer) {
-		w.balancers = append(w.balancers, balancer)
+// capacityWaiter is a balancer and the most important demand that was refused to it.
+type capacityWaiter struct {
+	balancer netip.AddrPort
+	demand   Demand
+}
+
+// add records that a flow of a balancer was refused.
+func (w *capacityWaitList) add(balancer netip.AddrPort, demand Demand) {
+	demand.Priority = limitPriority(demand.Priority)
+	if demand.Objective <= 0 {
+		// Without an objective, balancers are notified in the order of their refusals.
+		demand = Demand{Priority: NumPriorities - 1}
+	}
+	i := slices.IndexFunc(w.waiters, func(known capacityWaiter) bool { return known.balancer == balancer })
+	if i < 0 {
+		w.waiters = append(w.waiters, capacityWaiter{balancer, demand})
+		return
+	}
+	known := &w.waiters[i].demand
+	if demand.Priority < known.Priority || demand.Priority == known.Priority && demand.Objective > known.Objective {
+		*known = demand
 	}
 }
 
+// nextWaiter returns the position of the next balancer to notify: of those whose demand would
+// be admitted, the first with the highest priority. It returns -1 if there is none. Only the
+// first of each priority, with and without an objective, is checked, as this runs in each
+// step.
+func (a *Agent) nextWaiter(now time.Time) int {
+	waiters := a.capacityWaiters.waiters
+	for priority := range uint8(NumPriorities) {
+		var checked [2]bool
+		for i := range waiters {
+			d := waiters[i].demand
+			group := countOf(d.Objective > 0)
+			if d.Priority != priority || checked[group] {
+				continue
+			}
+			if a.checkOpening(now, a.target.service, classOther, d) == NotRefused {
+				return i
+			}
+			checked[group] = true
+		}
+	}
+	return -1
+}
+
 // notifyCapacity notifies the next waiting balancer of free capacity. That balancer has
 // queued flows, or had some.
 func (a *Agent) notifyCapacity(now time.Time) {
 	w := &a.capacityWaiters
-	if len(w.balancers) == 0 || now.Sub(w.lastNotice) < capacityNoticeInterval || a.checkAdmission(now, a.target.service, classOther) != NotRefused {
+	if len(w.waiters) == 0 || now.Sub(w.lastNotice) < capacityNoticeInterval {
+		return
+	}
+	next := a.nextWaiter(now)
+	if next < 0 {
 		return
 	}
-	to := w.balancers[0]
-	w.balancers = slices.Delete(w.balancers, 0, 1)
+	to := w.waiters[next].balancer
+	w.waiters = slices.Delete(w.waiters, next, next+1)
 	w.lastNotice = now
 	a.send(to, Message{Kind: MessagePong, Status: a.status(now)})
 }
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -1,6 +1,10 @@
 package steering
 
-import "time"
+import (
+	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/requestqueue"
+)
 
 const (
 	// tickInterval is the interval between ticks.
@@ -47,6 +51,17 @@
 	established bool // the handshake is complete
 	// nonIdempotent reports that the flow's requests must not run twice.
 	nonIdempotent bool
+	// priority and objective are those of the flow's route, zero if unknown.
+	priority  uint8
+	objective time.Duration
+	// firstDeadline is when the first request misses its objective, zero if unknown.
+	firstDeadline time.Time
+	// callerData is the position in the caller's data.
+	callerData dataPosition
+	// running reports that a request was delivered to the target and not responded to.
+	running bool
+	// kept is the request that waits to be delivered, nil if there is none.
+	kept *keptRequest
 	// singleRequest reports that the flow carries one request.
 	singleRequest bool
 	// callerAck is the caller's last acknowledgement.
@@ -87,6 +102,14 @@
 	// returnedAt is when the target last returned a segment of a flow.
 	returnedAt map[Flow]time.Time
 	busy       int
+	// inFlight counts the busy flows, and running those whose request was delivered to the
+	// target, by priority. runningTotal is the sum of running.
+	inFlight, running [NumPriorities]int
+	runningTotal      int
+	// waiting holds the flows with a kept request.
+	waiting requestqueue.Queue[*localFlow]
+	// discarded is the kept requests that were discarded in the present step.
+	discarded discardedRequests
 	// awaitingRequest counts the busy flows whose first request has not arrived;
 	// recentOpenings lists these and others that were opened recently, oldest first.
 	awaitingRequest int
@@ -169,6 +192,7 @@
 	f := msg.Segment.Flow
 	s.remove(f)
 	opened := &localFlow{lastSegment: now, nonIdempotent: msg.NonIdempotent, singleRequest: msg.SingleRequest}
+	opened.setOpeningDemand(now, msg.Demand)
 	s.byFlow[f] = opened
 	s.setAwaitingRequest(opened, true)
 	s.setBusy(opened, true)
@@ -186,21 +210,23 @@
 	return !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) >= silentAfter && now.Sub(s.lastOpening) < silentProbeInterval
 }
 
-// recordCallerSegment records a segment of the caller.
-func (s *flowSection) recordCallerSegment(now time.Time, seg *Segment) {
-	f := s.byFlow[seg.Flow]
+// recordCallerSegment records a segment of a flow's caller and reports whether it starts a
+// request.
+func (s *flowSection) recordCallerSegment(now time.Time, f *localFlow, seg *Segment) (starts bool) {
 	f.lastSegment = now
 	f.established = true
 	if seg.Flags.Has(FlagAck) {
 		f.callerAck = seg.Ack
 	}
 	if seg.Len > 0 {
-		s.startRequest(now, f)
+		starts = f.startsRequest(seg)
 	}
 	if seg.Flags.Has(FlagReset) {
 		f.closed = true
 		s.setBusy(f, false)
+		return false
 	}
+	return starts
 }
 
 // recordTargetSegment records a segment of the target, which shows that it holds the
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -262,6 +262,9 @@
 	LatencyRequest
 	// LatencyQueue is the time that an opening segment waits at a balancer.
 	LatencyQueue
+	// LatencyKept is the time that an agent keeps a request until it delivers it to the
+	// target.
+	LatencyKept
 )
 
 // Effect is an action that a node requests from its process. Effects are valid
--- a/internal/core/steering/requests.go
+++ b/internal/core/steering/requests.go
@@ -57,7 +57,34 @@
 	setCountedFlag(&f.awaitingRequest, awaiting, &s.awaitingRequest)
 }
 
-func (s *flowSection) setBusy(f *localFlow, busy bool) { setCountedFlag(&f.busy, busy, &s.busy) }
+// setBusy records whether a request of the flow is in flight. If none is, none is running or
+// kept either.
+func (s *flowSection) setBusy(f *localFlow, busy bool) {
+	if !busy {
+		s.discardKept(f, discardedFlowEnded)
+		s.setRunning(f, false)
+	}
+	if f.busy != busy {
+		s.busy += countOf(busy) - countOf(f.busy)
+		setCountedFlag(&f.busy, busy, &s.inFlight[f.priority])
+	}
+}
+
+// setRunning records whether the target runs a request of the flow.
+func (s *flowSection) setRunning(f *localFlow, running bool) {
+	if f.running != running {
+		s.runningTotal += countOf(running) - countOf(f.running)
+		setCountedFlag(&f.running, running, &s.running[f.priority])
+	}
+}
+
+// countOf returns 1 if a flag is set, and 0 otherwise.
+func countOf(flag bool) int {
+	if flag {
+		return 1
+	}
+	return 0
+}
 
 // setCountedFlag sets a flag to a value and updates the number of flags that are set.
 func setCountedFlag(flag *bool, value bool, count *int) {
@@ -71,19 +98,26 @@
 	*flag = value
 }
 
-// startRequest records that the caller has sent data of a request.
+// startRequest records that a request has arrived.
 func (s *flowSection) startRequest(now time.Time, f *localFlow) {
-	if f.busy && !f.awaitingRequest {
-		return // further data of the same request
-	}
 	s.setAwaitingRequest(f, false)
 	s.setBusy(f, true)
-	f.requestStart, f.deliveredAt, f.uncontended = now, now, s.busy-s.awaitingRequest <= s.slots
+	f.requestStart = now
+}
+
+// startRunning records that a request is delivered to the target.
+func (s *flowSection) startRunning(now time.Time, f *localFlow) {
+	s.setRunning(f, true)
+	f.deliveredAt, f.uncontended = now, s.runningTotal <= s.slots
 }
 
 // finishRequest records that the target has begun to respond. If a request was running
-// or queued, it returns how long that took.
+// or queued, it returns how long that took. While a request is kept, the target's data
+// belongs to an earlier one.
 func (s *flowSection) finishRequest(now time.Time, f *localFlow) (elapsed time.Duration, finished bool) {
+	if f.kept != nil {
+		return 0, false
+	}
 	finished = f.busy && !f.awaitingRequest
 	if finished {
 		elapsed = now.Sub(f.requestStart)
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -52,6 +52,8 @@
 		Slots: uint16(min(t.slots, 1<<16-1)), InFlight: uint16(min(a.flows.busy, 1<<16-1)),
 		Concurrency:        uint16(min(a.concurrency(), 1<<16-1)),
 		RequestsPerSecond:  uint16(min(a.flows.requestsPerSecond(t.slots), 1<<16-1)),
+		Ahead:              a.flows.aheadByPriority(),
+		RequestTime:        time.Duration(a.flows.meanRequestTime),
 		SingleRequestLimit: uint8(a.requestLimitPerSlot(classSingleRequest)),
 		Flows:              uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
 		ConfirmedAge: confirmedAge(now, a.confirmedAt),
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -452,9 +452,12 @@
 
 // Under any sequence of faults no flow of a live target is reset, and none is sent
 // to other targets only. The world checks both.
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { testRandomFaults(t, steering.Demand{}, 6) }
+
+func testRandomFaults(t *testing.T, demand steering.Demand, agents int) {
+	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
-		w, callers := newSteadyWorld(rt, rapid.Uint64().Draw(rt, "seed"), 3, 6, 30)
+		w, callers := newSteadyWorldOf(rt, rapid.Uint64().Draw(rt, "seed"), demand, 3, agents, 30)
 		w.lossRate = rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(rt, "loss")
 		for range rapid.IntRange(1, 12).Draw(rt, "faults") {
 			randomFault(rt, w)
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -317,6 +317,7 @@
 		return
 	}
 	a.target.deregistered = true
+	a.flows.discardAll()
 	a.emit(Effect{Kind: EffectUnregister})
 	a.report(Report{Text: "Target is gone.", Node: d.Instance})
 }
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -26,6 +26,7 @@
 	storeRetryInterval = 200 * time.Millisecond
 	serviceName        = "desk"
 	targetSlots        = 5
+	requestBytes       = 100
 	responseBytes      = 2000
 	// killGracePeriod is how long misdirected segments are not counted against a host
 	// after its process was killed, as on the platform.
@@ -68,6 +69,8 @@
 	applyTimeout time.Duration
 	// storeSilent makes the store leave the balancers' reads unanswered.
 	storeSilent bool
+	// demand is that of the route.
+	demand steering.Demand
 	// idempotent makes the requests of the route idempotent.
 	idempotent bool
 }
@@ -134,21 +137,25 @@
 	up       bool
 	draining bool
 	// dropsSegments makes the target lose every segment; heartbeats continue.
-	dropsSegments  bool
-	incarnation    int64
-	sequence       int64
-	flows          map[steering.Flow]*targetFlow
-	requests       int
-	opened         int
-	maxInFlight    int
-	inFlight       int
-	firstRequestAt time.Time
+	dropsSegments bool
+	incarnation   int64
+	sequence      int64
+	flows         map[steering.Flow]*targetFlow
+	requests      int
+	opened        int
+	maxInFlight   int
+	inFlight      int
+	// distinctInFlight is inFlight without the copies that callers send of a request.
+	distinctInFlight, maxDistinctInFlight int
+	firstRequestAt                        time.Time
 }
 
 // targetFlow is a flow at a target.
 type targetFlow struct {
 	open bool
 	seq  uint32
+	// requestSeq is the sequence number of the last request, 0 if there was none.
+	requestSeq uint32
 }
 
 // caller is one flow of a caller.
@@ -162,6 +169,8 @@
 	requests          int
 	awaitsResponse    bool
 	reset             bool
+	// seq is the sequence number of the present request.
+	seq uint32
 	// ack is the sequence number up to which the caller has received data.
 	ack uint32
 	// misdirected is when segments reached other targets since one last reached the
@@ -228,7 +237,7 @@
 	for d, is := range w.domainsOut {
 		out[d] = is
 	}
-	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent}
+	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent, Demand: w.demand}
 	w.stepBalancer(b, &steering.ConfigurationLoaded{State: steering.OperatorState{
 		Revision: w.revision, VerifiedRevision: w.revision, DomainsOut: out,
 		Configuration: &steering.Configuration{Version: w.version, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
@@ -486,11 +495,19 @@
 	t.requests++
 	t.inFlight++
 	t.maxInFlight = max(t.maxInFlight, t.inFlight)
+	distinct := 0
+	if s.Seq != flow.requestSeq {
+		distinct = 1
+	}
+	flow.requestSeq = s.Seq
+	t.distinctInFlight += distinct
+	t.maxDistinctInFlight = max(t.maxDistinctInFlight, t.distinctInFlight)
 	if t.firstRequestAt.IsZero() {
 		t.firstRequestAt = w.now
 	}
 	w.schedule(serviceTime, func() {
 		t.inFlight--
+		t.distinctInFlight -= distinct
 		w.sendFromTarget(a, t, steering.Segment{Flow: s.Flow, Flags: steering.FlagAck, Seq: flow.seq, Len: responseBytes})
 		flow.seq += responseBytes
 	})
@@ -614,6 +631,7 @@
 	}
 	c.awaitsResponse = true
 	c.requests++
+	c.seq = 1 + uint32(c.requests-1)*requestBytes
 	w.retransmit(c, c.requests, retransmitAfter)
 }
 
@@ -621,7 +639,7 @@
 	if c.reset || !c.awaitsResponse || c.requests != request {
 		return
 	}
-	w.sendToBalancer(steering.Segment{Flow: c.flow, Flags: steering.FlagAck, Seq: 1, Ack: c.ack, Len: 100})
+	w.sendToBalancer(steering.Segment{Flow: c.flow, Flags: steering.FlagAck, Seq: c.seq, Ack: c.ack, Len: requestBytes})
 	w.schedule(interval, func() { w.retransmit(c, request, min(2*interval, 8*retransmitAfter)) })
 }
 
@@ -630,8 +648,15 @@
 
 // newSteadyWorld starts a small deployment with open flows.
 func newSteadyWorld(t rapid.TB, seed uint64, balancers, agents, flows int) (*world, []*caller) {
+	t.Helper()
+	return newSteadyWorldOf(t, seed, steering.Demand{}, balancers, agents, flows)
+}
+
+// newSteadyWorldOf starts a small deployment whose route has a demand, with open flows.
+func newSteadyWorldOf(t rapid.TB, seed uint64, demand steering.Demand, balancers, agents, flows int) (*world, []*caller) {
 	t.Helper()
 	w := newWorld(t, seed)
+	w.demand = demand
 	for i := range agents {
 		w.addAgent(domainNames[i%len(domainNames)])
 	}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -226,5 +226,8 @@
 		"direct_heartbeats_ignored": &c.HeartbeatsIgnored,
 		"direct_reset_ended":        &c.ResetEnded,
 		"direct_open_stale":         &c.OpenStale,
+		"direct_requests_kept":      &c.RequestsKept,
+		"direct_requests_released":  &c.RequestsReleased,
+		"direct_requests_abandoned": &c.RequestsAbandoned,
 	}
 }
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -81,7 +81,7 @@
 	counters nodeCounters
 	reports  reportLimiter
 	// latencies are the histograms, indexed by steering.Latency.
-	latencies [3]tally.Histogram
+	latencies [4]tally.Histogram
 
 	mu   sync.Mutex // guards core and sendBuf
 	core core
@@ -115,6 +115,7 @@
 		steering.LatencyHandshake: metrics.Histogram("direct_handshake_time", buckets),
 		steering.LatencyRequest:   metrics.Histogram("direct_request_time", buckets),
 		steering.LatencyQueue:     metrics.Histogram("direct_queue_time", buckets),
+		steering.LatencyKept:      metrics.Histogram("direct_requests_kept_time", buckets),
 	}
 	return n
 }
