Merge the request queue of agents

A request whose caller closes its flow with a copy of the request is discarded as well: callers that give up send their data again with the close. Requests of open flows run up to the slots, whatever the limit on new flows is.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -31,6 +31,7 @@
 type AgentCounters struct {
 	Admitted, RefusedOpen, Delivered, Answered, Missed, Returned, Tried, Queries atomic.Uint64
 	HeartbeatsIgnored, ResetEnded, OpenStale, Trials, Rejected                   atomic.Uint64
+	RequestsKept, RequestsReleased, RequestsAbandoned                            atomic.Uint64
 }
 
 // Agent decides which segments reach the target beside it.
@@ -110,6 +111,7 @@
 	case *Stop:
 		a.stopping = true
 	case *Tick:
+		a.flows.discardStalled(now)
 		a.flows.sweep(now, func(f *localFlow) { a.recordUnanswered(now, f) })
 		a.sweepHealth(now)
 		a.reportSilentTarget(now)
@@ -120,6 +122,8 @@
 		a.restoreSavedFlows(now, e)
 	}
 	a.answerUnsureQueries()
+	a.releaseRequests(now)
+	a.reportDiscarded(now)
 	a.advertiseChange(now)
 	a.notifyCapacity(now)
 	return a.effects
@@ -163,9 +167,9 @@
 		a.Counters.OpenStale.Add(1)
 		return
 	}
-	if refusal := a.checkAdmission(now, msg.Service, classFor(msg.SingleRequest), msg); refusal != NotRefused {
+	if refusal := a.checkOpening(now, msg.Service, classFor(msg.SingleRequest), msg.Demand, msg); refusal != NotRefused {
 		if refusal == RefusedBusy {
-			a.capacityWaiters.add(from)
+			a.capacityWaiters.add(from, msg.Demand)
 		}
 		a.countRefused(msg.Demand, refusal)
 		a.refuseOpen(from, s, refusal)
@@ -206,9 +210,10 @@
 	return maxRequestsPerSlot
 }
 
-// checkAdmission returns why the agent refuses a new flow of the service now, or
-// NotRefused if it admits one. offer is the opening, or nil for whether any may be admitted.
-func (a *Agent) checkAdmission(now time.Time, service ServiceID, class flowClass, offer *Message) Refusal {
+// checkOpening returns why the agent refuses a new flow of the service now, or NotRefused if
+// it admits one. The objective is what remains of it. offer is the opening, or nil for
+// whether any may be admitted.
+func (a *Agent) checkOpening(now time.Time, service ServiceID, class flowClass, demand Demand, offer *Message) Refusal {
 	t := &a.target
 	switch {
 	case a.stopping || t.draining:
@@ -221,7 +226,7 @@
 		return RefusedDomainOut
 	case a.refusesAsFailing(now, offer):
 		return RefusedFailing
-	case a.flows.busy >= t.slots*a.requestLimitPerSlot(class):
+	case a.isBusy(class, demand):
 		return RefusedBusy
 	case a.flows.isSilent(now):
 		return RefusedSilent
@@ -246,8 +251,7 @@
 			a.send(from, Message{Kind: MessageHeld, Flow: s.Flow})
 		}
 		a.recordForwarded(msg)
-		a.flows.recordCallerSegment(now, &s)
-		a.deliver(from, s)
+		a.scheduleSegment(now, from, msg)
 	case VerdictAbsent, VerdictTried:
 		a.sendMissed(from, s, VerdictAbsent)
 	case VerdictUnsure:
@@ -291,7 +295,7 @@
 	if local := a.flows.byFlow[s.Flow]; local != nil && !local.responded {
 		a.emit(Effect{Kind: EffectObserve, Latency: LatencyHandshake, Elapsed: now.Sub(local.lastSegment)})
 	}
-	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && s.Flags.Has(FlagReset) {
+	if local := a.flows.byFlow[s.Flow]; local != nil && local.busy && local.kept == nil && s.Flags.Has(FlagReset) {
 		a.observeOutcome(now, local, outcomeReset, now.Sub(local.deliveredAt))
 	}
 	if local := a.flows.byFlow[s.Flow]; local != nil {
--- a/internal/core/steering/outcome.go
+++ b/internal/core/steering/outcome.go
@@ -22,3 +22,7 @@
 
 // concurrency returns the number of requests that the agent lets the target execute at once.
 func (a *Agent) concurrency() int { return a.pacedConcurrency(a.suspensions.lastStep) }
+
+// executionLimit returns the number of requests of open flows that the target executes at
+// once. They can't go elsewhere, so a slow target gets no fewer: that would only delay them.
+func (a *Agent) executionLimit() int { return a.target.slots }
--- a/internal/core/steering/pace.go
+++ b/internal/core/steering/pace.go
@@ -97,7 +97,7 @@
 // hasWaitingRequests reports whether requests wait for the target, at the agent or at a
 // balancer that it refused.
 func (a *Agent) hasWaitingRequests() bool {
-	return a.flows.busy > a.pace.limiter.Limit() || len(a.capacityWaiters.balancers) > 0
+	return a.flows.waiting.Len() > 0 || len(a.capacityWaiters.waiters) > 0
 }
 
 // advancePace raises the limit of a target at which nothing waits, and reports the begin and
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -11,7 +11,7 @@
 // open flows, and when it has received a newer configuration revision. A trial at a failing
 // target is not advertised.
 func (a *Agent) advertiseChange(now time.Time) {
-	refusal := a.checkAdmission(now, a.target.service, classOther, nil)
+	refusal := a.checkAdmission(now, a.target.service, classOther)
 	if refusal == NotRefused && a.health.detector.Failing() {
 		refusal = RefusedFailing // only a trial is admitted
 	}
@@ -56,10 +56,12 @@
 func (a *Agent) status(now time.Time) Status {
 	t := &a.target
 	return Status{
-		Incarnation: a.identity.Incarnation, Service: t.service, Refusal: a.checkAdmission(now, t.service, classOther, nil),
+		Incarnation: a.identity.Incarnation, Service: t.service, Refusal: a.checkAdmission(now, t.service, classOther),
 		Slots: uint16(min(t.slots, 1<<16-1)), InFlight: uint16(min(a.flows.busy, 1<<16-1)),
 		Concurrency:        uint16(min(a.concurrency(), 1<<16-1)),
 		RequestsPerSecond:  uint16(min(a.flows.requestsPerSecond(t.slots), 1<<16-1)),
+		Ahead:              a.flows.aheadByPriority(),
+		RequestTime:        time.Duration(a.flows.meanRequestTime),
 		SingleRequestLimit: uint8(a.requestLimitPerSlot(classSingleRequest)),
 		Flows:              uint32(len(a.flows.byFlow)), Revision: a.limits.Revision,
 		ConfirmedAge: confirmedAge(now, a.confirmedAt),
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -139,7 +139,7 @@
 	t := &a.target
 	v := View{
 		Role: "agent", Node: a.identity.Node, Domain: a.identity.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
-		Refusal: a.checkAdmission(now, t.service, classOther, nil).String(), Peers: []PeerView{},
+		Refusal: a.checkAdmission(now, t.service, classOther).String(), Peers: []PeerView{},
 	}
 	for _, c := range a.DemandCounts() {
 		v.Demand = append(v.Demand, DemandView{DemandCount: c})
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -238,5 +238,8 @@
 		"direct_open_stale":         &c.OpenStale,
 		"direct_trials":             &c.Trials,
 		"direct_rejected":           &c.Rejected,
+		"direct_requests_kept":      &c.RequestsKept,
+		"direct_requests_released":  &c.RequestsReleased,
+		"direct_requests_abandoned": &c.RequestsAbandoned,
 	}
 }
