Shed load and place openings by time to answer at balancers

Openings that found no agent waited up to 1.2 s and were dropped silently, in one order for all routes, so that callers ran into their timeouts and posts waited behind feeds. Agents were compared by load, which does not tell how long an opening of a priority waits.

A backlog of a service and priority that does not clear in half of the route's timeout counts as overload until nothing is refused for 300 ms; openings are then refused by a reset. An opening is reset at the queue timeout. None is reset that may be open elsewhere: a copy went to another balancer, or an agent did not reply. - An offer carries what remains of the objective. - Agents are compared by the estimated time to answer. Failing agents are the last resort, apart from a test each 200 ms. Pings carry the median request time of the service. Routes without an objective and agents that report no concurrency are treated as before. The metric direct_open_rejected_overload counts refusals.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/overload"
 )
 
 // Identity is the identity of a node.
@@ -22,7 +24,7 @@
 // BalancerCounters counts decisions since the start of the process.
 type BalancerCounters struct {
 	Opened, OpenStale, Queued, OpenExpired, Refused, Forwarded, Probed, Missed, Searched, Tried atomic.Uint64
-	ResetNoRoute, ResetLost, SearchesAbandoned, CacheFull                                       atomic.Uint64
+	ResetNoRoute, ResetLost, SearchesAbandoned, CacheFull, RefusedOverload                      atomic.Uint64
 }
 
 // Balancer decides to which agent the segments of callers go.
@@ -35,10 +37,16 @@
 	members      memberSection
 	entries      map[Flow]*flowEntry
 
-	searches    []Flow
-	queues      [numFlowClasses][]Flow
-	lastSweep   time.Time
-	lastRefresh time.Time
+	searches []Flow
+	queues   [numQueueClasses][]Flow
+	// queuedObjective is, for each class, the largest objective of the routes of flows
+	// that were queued since the queue was last empty.
+	queuedObjective [numQueueClasses]time.Duration
+	backlogs        map[backlogKey]*overload.Backlog
+	// requestTimes caches the median request time of each service's agents.
+	requestTimes map[ServiceID]medianRequestTime
+	lastSweep    time.Time
+	lastRefresh  time.Time
 	// refreshRequested is set while no read has ended since one was requested.
 	refreshRequested bool
 	suspensions      suspensionDetector
@@ -50,6 +58,7 @@
 	return &Balancer{
 		identity: identity, confirmation: newConfirmationSection(identity),
 		members: newMemberSection(), entries: make(map[Flow]*flowEntry),
+		backlogs: make(map[backlogKey]*overload.Backlog), requestTimes: make(map[ServiceID]medianRequestTime),
 	}
 }
 
@@ -58,6 +67,7 @@
 	b.effects = b.effects[:0]
 	if suspended := b.suspensions.recordStep(now); suspended > 0 {
 		b.report(suspensionReport(suspended))
+		b.restartBacklogs(now)
 	}
 	switch e := e.(type) {
 	case *SegmentReceived:
--- a/internal/core/steering/far.go
+++ b/internal/core/steering/far.go
@@ -83,7 +83,7 @@
 // localHasCapacity reports whether one of the local members can accept more flows.
 func (b *Balancer) localHasCapacity(now time.Time, members []*member) bool {
 	for _, m := range members {
-		if m.local && b.tierOf(now, m, classOther) == tierOpen && m.load(now) <= spillLoad {
+		if m.local && b.tierOf(now, m, classOther) == tierOpen && m.load(now) <= spillLoad && b.hasSlotForObjectives(now, m) {
 			return true
 		}
 	}
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthwheel.example/amaranthwheel/internal/core/overload"
 	"amaranthwheel.example/amaranthwheel/internal/core/routing"
 )
 
@@ -54,6 +55,20 @@
 	queuedAt      time.Time
 	firstSent     time.Time
 	lastCopy      uint32
+	// firstCopy is the number of the first of the copies that came here one after the
+	// other.
+	firstCopy uint32
+	// mayBeOpen is set when a target may have opened the flow: an agent has not replied to
+	// the offer, or the caller has sent more than openings.
+	mayBeOpen bool
+	// lastResort is set when the flow was offered to an agent that refuses flows as
+	// failing.
+	lastResort bool
+	// inBacklog is set while the flow counts in backlog; backlogSince is when that backlog
+	// began.
+	inBacklog    bool
+	backlog      *overload.Backlog
+	backlogSince time.Time
 }
 
 func (e *flowEntry) wasOffered(m *member) bool {
@@ -74,6 +89,9 @@
 
 // setStage enters a stage with an agent, nil if none.
 func (e *flowEntry) setStage(s stage, m *member, now time.Time) {
+	if s != stageQueued {
+		e.leaveBacklog(now)
+	}
 	e.stage, e.agent, e.sentAt = s, m, now
 }
 
@@ -100,9 +118,10 @@
 	b.lastSweep = now
 	for f, e := range b.entries {
 		if now.Sub(e.lastSeen) > silence {
-			delete(b.entries, f)
+			b.deleteEntry(now, e, f)
 		}
 	}
+	b.sweepBacklogs(now)
 }
 
 // openFlow places a segment that opens a flow.
@@ -113,21 +132,30 @@
 	}
 	e := b.touchEntry(now, s.Flow)
 	retransmitted := s.Ack > 0
+	if retransmitted && r.hasObjective() {
+		e.recordCopy(now, s.Ack)
+	}
 	switch {
 	case e.stage == stageHeld,
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
+		if e.stage == stageHeld {
+			e.startCopies(now, s.Ack)
+		}
 		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
 		// An agent that does not hold the flow refuses it if the route's service is not its own.
-		b.sendOpening(e.agent, s, r, r.pickService(s.Flow.Hash()))
+		b.sendOpening(now, e, s, r, r.pickService(s.Flow.Hash()))
 		return
 	case e.stage == stageOpening && retransmitted:
+		e.mayBeOpen = true
 		b.offerNext(now, e, s, r)
 		return
 	case e.stage == stageQueued && retransmitted:
 		e.lastCopy = max(e.lastCopy, s.Ack)
 		return
 	}
+	e.leaveBacklog(now)
 	*e = flowEntry{lastSeen: now}
+	e.startCopies(now, s.Ack)
 	b.offerNext(now, e, s, r)
 }
 
@@ -137,18 +165,33 @@
 	return now.Sub(e.sentAt) > reofferDelay && e.agent.lastPong.Before(e.sentAt.Add(-e.agent.currentPingInterval(now)))
 }
 
-// sendOpening offers an opening segment to an agent.
-func (b *Balancer) sendOpening(m *member, s Segment, r *Route, service ServiceID) {
-	b.send(m, Message{Kind: MessageOpen, Service: service, NonIdempotent: r.NonIdempotent, SingleRequest: r.SingleRequest, Demand: r.Demand, Segment: s})
+// sendOpening offers an opening segment to the entry's agent, with what remains of the
+// objective.
+func (b *Balancer) sendOpening(now time.Time, e *flowEntry, s Segment, r *Route, service ServiceID) {
+	demand := r.Demand
+	if r.hasObjective() {
+		demand.Objective = e.remaining(now, r)
+	}
+	b.send(e.agent, Message{
+		Kind: MessageOpen, Service: service, NonIdempotent: r.NonIdempotent, SingleRequest: r.SingleRequest, Demand: demand,
+		LastResort: e.lastResort, Segment: s,
+	})
 }
 
 // offerNext offers an opening segment to the next agent, or queues it.
 func (b *Balancer) offerNext(now time.Time, e *flowEntry, s Segment, r *Route) {
 	hash := s.Flow.Hash()
 	service := r.pickService(hash)
+	if e.firstSent.IsZero() {
+		e.startCopies(now, s.Ack) // offered before this process started
+	}
 	var m *member
-	if e.numOffered < maxOffers {
-		m = b.pickAgent(now, e, routeClass(r), service, hash)
+	switch {
+	case e.numOffered >= maxOffers:
+	case r.hasObjective():
+		m, e.lastResort = b.pickByTime(now, e, r, service, hash)
+	default:
+		m, e.lastResort = b.pickAgent(now, e, routeClass(r), service, hash)
 	}
 	if m == nil {
 		b.enqueue(now, e, s, r)
@@ -159,21 +202,17 @@
 	}
 	e.recordOffer(m)
 	e.setStage(stageOpening, m, now)
-	m.openedSince++
+	m.recordOpening(now, r)
 	m.startFastPing(now)
 	b.Counters.Opened.Add(1)
-	b.sendOpening(m, s, r, service)
+	b.sendOpening(now, e, s, r, service)
 }
 
 // handleRefused offers a refused segment to another agent.
 func (b *Balancer) handleRefused(now time.Time, m *member, msg *Message) {
 	b.Counters.Refused.Add(1)
-	if msg.Refusal == RefusedBusy {
-		m.markFull(routeClass(b.config.route(msg.Segment.Flow.Address)))
-	} else {
-		m.avoidUntil = now.Add(refusalBackoff)
-	}
 	s := msg.Segment
+	b.recordRefusal(now, m, msg)
 	b.report(Report{Text: "Agent refused to open the flow.", Flow: s.Flow, Node: m.record.Node, Why: msg.Refusal.String()})
 	e := b.touchEntry(now, s.Flow)
 	switch e.stage {
@@ -181,6 +220,7 @@
 		if e.agent != m {
 			return
 		}
+		e.mayBeOpen = e.mayBeOpen || e.stage == stageHeld
 	case stageNew:
 	case stageProbing, stageSearching, stageTrial, stageLost, stageQueued:
 		return
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -71,11 +71,23 @@
 	// counts the flows that were offered to the agent since.
 	inFlight, openedSince int
 	reportedAt            time.Time
+	// estimatedAhead is the estimate at estimatedAt of the requests that a new one waits
+	// for, for each priority, if the status tells.
+	estimatedAhead [NumPriorities]float64
+	estimatedAt    time.Time
+	// refusedObjective is, for each priority, the largest remaining objective of a flow
+	// that the agent refused as busy since its last status.
+	refusedObjective [NumPriorities]time.Duration
+	// failing is set when the agent refuses a flow as failing, and cleared by the next
+	// status. offeredFailingAt is when it was last offered a flow despite of that to let it
+	// test its target.
+	failing          bool
+	offeredFailingAt time.Time
 	// fastPingSince and fastPingUntil bound the time in which an agent of another
 	// failure domain is pinged as often as a local one.
 	fastPingSince, fastPingUntil time.Time
-	// full is set for a class when the agent refuses one of its flows as busy, and
-	// cleared by the next status: the agent sends one to balancers that it has refused
+	// full is set for a class of flows without an objective when the agent refuses one of
+	// them as busy, and cleared by the next status: the agent sends one to balancers that it has refused
 	// once it has capacity.
 	full [numFlowClasses]bool
 	// agentCount is the number of agents in the agent's latest reply to a query, as known
@@ -264,7 +276,8 @@
 	s := &b.members
 	b.send(m, Message{
 		Kind: MessagePing, Limits: b.config.limits(m, s.revision), ConfirmedAge: b.confirmation.age(now),
-		Unlisted: !m.listed, ListSettled: s.loaded && now.Sub(s.loadedAt) >= memberListSettleTime, Agents: uint16(min(s.announcedCount, 1<<16-1)),
+		Unlisted: !m.listed, ListSettled: s.loaded && now.Sub(s.loadedAt) >= memberListSettleTime,
+		TypicalRequestTime: b.typicalRequestTime(now, m.service), Agents: uint16(min(s.announcedCount, 1<<16-1)),
 	})
 }
 
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -23,6 +23,11 @@
 // setLoad records the reported load of the agent's target.
 func (m *member) setLoad(now time.Time, inFlight int) {
 	m.inFlight, m.openedSince, m.reportedAt, m.full = inFlight, 0, now, [numFlowClasses]bool{}
+	m.refusedObjective, m.failing = [NumPriorities]time.Duration{}, false
+	for p, n := range m.status.Ahead {
+		m.estimatedAhead[p] = float64(n)
+	}
+	m.estimatedAt = now
 }
 
 // markFull records that the agent has refused a flow of the class as busy: it
@@ -53,13 +58,16 @@
 	return max(0, float64(m.inFlight+m.openedSince)-finished) / float64(m.slots())
 }
 
-// tier orders candidates: agents that open flows, then agents with a cold target.
-// Agents in tierNone are not candidates.
+// tier orders candidates: agents that open flows, then, for flows with an objective,
+// agents that would have the flow wait, then agents with a cold target, then agents that
+// refuse flows as failing. Agents in tierNone are not candidates.
 type tier int
 
 const (
 	tierOpen tier = iota
+	tierWait
 	tierCold
+	tierFailing
 	tierNone
 )
 
@@ -71,7 +79,11 @@
 		return tierNone
 	}
 	switch m.status.Refusal {
-	case NotRefused, RefusedBusy:
+	case NotRefused, RefusedBusy, RefusedFailing:
+		// Only a refusal tells that flows without an objective are refused as failing.
+		if m.failing {
+			return tierFailing
+		}
 		return tierOpen
 	case RefusedCold:
 		return tierCold
@@ -123,21 +135,27 @@
 // pickAgent picks the agent for a new flow, nil if there is no candidate. It picks
 // the less loaded of the two highest ranked agents of the local failure domain;
 // under overload, possibly one of another domain.
-func (b *Balancer) pickAgent(now time.Time, e *flowEntry, class flowClass, service ServiceID, hash uint64) *member {
+// LastResort reports that only agents are left which refuse flows as failing.
+func (b *Balancer) pickAgent(now time.Time, e *flowEntry, class flowClass, service ServiceID, hash uint64) (picked *member, lastResort bool) {
 	var local, remote [tierNone]topTwo
+	healthy := false
 	for _, m := range b.members.byService[service] {
 		t := b.tierOf(now, m, class)
-		if t == tierNone || e.wasOffered(m) {
+		healthy = healthy || b.isHealthy(now, m)
+		if t == tierNone || e.excludes(m, t) {
 			continue
 		}
 		addRanked(&local[t], &remote[t], m, hash)
 	}
 	for t := range tierNone {
+		if t == tierFailing && healthy {
+			break
+		}
 		if m := preferLocal(now, &local[t], &remote[t]); m != nil {
-			return m
+			return m, t == tierFailing
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // preferLocal picks the local candidate unless it is overloaded and a remote one
@@ -147,8 +165,17 @@
 	switch {
 	case bestLocal == nil:
 		return bestRemote
-	case bestRemote == nil || bestLocal.load(now) <= spillLoad || bestRemote.load(now) > bestLocal.load(now)*spillRatio:
+	case bestRemote == nil:
 		return bestLocal
 	}
-	return bestRemote
+	return lessLoaded(now, bestLocal, bestRemote)
+}
+
+// lessLoaded picks the local agent unless it is overloaded and the remote one has clearly
+// less load.
+func lessLoaded(now time.Time, local, remote *member) *member {
+	if local.load(now) <= spillLoad || remote.load(now) > local.load(now)*spillRatio {
+		return local
+	}
+	return remote
 }
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/overload"
 )
 
 const (
@@ -68,22 +70,34 @@
 // enqueue queues an opening segment until an agent accepts it. This happens when
 // many flows open at once while agents start, are full or are being replaced.
 func (b *Balancer) enqueue(now time.Time, e *flowEntry, s Segment, r *Route) {
+	var l *overload.Backlog
+	if r.hasObjective() {
+		l = b.backlog(r.pickService(s.Flow.Hash()), r.priority())
+		if e.queuedAt.IsZero() && l.Overloaded(now, r.patience()) && e.mayReset(now) {
+			b.refuseOverloaded(now, e, s, r, l)
+			return
+		}
+	}
 	if e.queuedAt.IsZero() {
 		e.queuedAt = now
 		if b.countQueued() >= maxQueued {
-			b.abandonOpening(s.Flow, r, "queue is full")
+			b.abandonOpening(now, e, s.Flow, r, "queue is full")
 			return
 		}
 		b.Counters.Queued.Add(1)
-		e.firstSent = now.Add(-copyAge(s.Ack))
-		e.queuedSegment, e.lastCopy = s, s.Ack
+		if !r.hasObjective() {
+			e.startCopies(now, s.Ack)
+		}
+		e.queuedSegment = s
 		e.queuedSegment.Raw = slices.Clone(s.Raw)
-		class := routeClass(r)
-		b.insertQueued(class, s.Flow, e.firstSent)
+		b.insertQueued(r, s.Flow, e.firstSent)
 		b.report(Report{Text: "Flow is queued for an agent.", Flow: s.Flow, Route: r.Name, Version: b.Version()})
 	}
 	e.numOffered = 0
 	e.setStage(stageQueued, nil, now)
+	if l != nil {
+		e.enterBacklog(now, l)
+	}
 }
 
 // insertQueued adds a flow to the queue of its class, which is ordered by the time of
@@ -91,8 +105,13 @@
 // changes, and the later copies of many openings reach a balancer that has not seen
 // the first: arriving last, they would be served before callers who can still be
 // answered in good time.
-func (b *Balancer) insertQueued(class flowClass, f Flow, firstSent time.Time) {
+func (b *Balancer) insertQueued(r *Route, f Flow, firstSent time.Time) {
+	class := queueClassOf(r)
 	q := b.queues[class]
+	if len(q) == 0 {
+		b.queuedObjective[class] = 0
+	}
+	b.queuedObjective[class] = max(b.queuedObjective[class], r.Demand.Objective)
 	at := len(q)
 	for at > 0 && b.sentAfter(q[at-1], firstSent) {
 		at--
@@ -107,17 +126,23 @@
 }
 
 // abandonOpening drops an opening segment. The caller retries by itself.
-func (b *Balancer) abandonOpening(f Flow, r *Route, reason string) {
+func (b *Balancer) abandonOpening(now time.Time, e *flowEntry, f Flow, r *Route, reason string) {
 	b.Counters.OpenExpired.Add(1)
 	b.report(Report{Text: "Opening segment is dropped.", Flow: f, Route: r.Name, Why: reason, Version: b.Version()})
-	delete(b.entries, f)
+	b.deleteEntry(now, e, f)
 }
 
 // offerQueued offers the queued segments and drops those that have waited too
 // long.
 func (b *Balancer) offerQueued(now time.Time) {
 	for class := range b.queues {
-		b.queues[class] = slices.DeleteFunc(b.queues[class], func(f Flow) bool { return !b.retainQueued(now, f) })
+		b.queues[class] = slices.DeleteFunc(b.queues[class], func(f Flow) bool {
+			retained := b.retainQueued(now, f)
+			if e := b.entries[f]; !retained && e != nil && e.backlog != nil {
+				e.queuedAt = time.Time{} // inserted again if it has to wait again
+			}
+			return !retained
+		})
 		var full []ServiceID
 		for _, f := range slices.Backward(b.queues[class]) {
 			if service := b.serviceOf(f); !slices.Contains(full, service) && !b.offerQueuedSegment(now, f) {
@@ -133,7 +158,7 @@
 // placed there.
 func (b *Balancer) offerQueuedTo(now time.Time, m *member) {
 	for class := range b.queues {
-		if b.tierOf(now, m, flowClass(class)) == tierNone {
+		if len(b.queues[class]) == 0 || !b.canTake(now, m, queueClass(class)) {
 			continue
 		}
 		for _, f := range slices.Backward(b.queues[class]) {
@@ -163,15 +188,17 @@
 	switch {
 	case r == nil:
 		b.resetFlow(e.queuedSegment, "no route")
-		delete(b.entries, f)
+		b.deleteEntry(now, e, f)
 		return false
+	case r.hasObjective():
+		return b.retainWithObjective(now, f, e, r)
 	case now.Sub(e.firstSent) > queueTimeout:
 		if e.stage == stageQueued {
-			b.abandonOpening(f, r, "queue timeout")
+			b.abandonOpening(now, e, f, r, "queue timeout")
 		}
 		return false
 	case e.stage == stageQueued && e.callerGaveUp(now):
-		b.abandonOpening(f, r, "caller stopped retransmitting")
+		b.abandonOpening(now, e, f, r, "caller stopped retransmitting")
 		return false
 	}
 	return true
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -94,6 +94,9 @@
 	state  OperatorState
 	loaded bool
 	held   heldDomains
+	// withObjective is the services of the routes of objectivesOf that have an objective.
+	withObjective map[ServiceID]bool
+	objectivesOf  *Configuration
 }
 
 // update applies a newer state and reports whether it differs.
@@ -127,6 +130,21 @@
 	return c.state.Configuration.Routes[address]
 }
 
+// hasObjective reports whether a route of the service has an objective.
+func (c *configSection) hasObjective(service ServiceID) bool {
+	if current := c.state.Configuration; c.objectivesOf != current {
+		c.objectivesOf, c.withObjective = current, make(map[ServiceID]bool)
+		for _, r := range current.Routes {
+			for _, s := range r.Shares {
+				if r.hasObjective() {
+					c.withObjective[s.Service] = true
+				}
+			}
+		}
+	}
+	return c.withObjective[service]
+}
+
 // limits returns the limits that an agent has to enforce.
 func (c *configSection) limits(m *member, memberRevision uint64) Limits {
 	l := Limits{Revision: c.state.Revision, MemberRevision: memberRevision, DomainOut: c.state.DomainsOut[m.record.Domain]}
