Judge fast answers by the target's own times; fix health and pacing

Cause: Three answers in less than an eighth of the typical time made a target failing, also if its service mixes short and long requests. A target that failed again soon after its recovery started with the shortest trial interval. The reduced concurrency was meant for requests on open flows as well, which can't go elsewhere.

Change: - Answers are too fast only for a target that has answered 32 requests in its present incarnation, fewer than 5% of them that fast, by a histogram of its own times. Eight in a row are needed. They no longer raise the concurrency limit or count into its usual time. - A failure within 5 s of a recovery doubles the trial interval of before. - concurrency() bounds the admission of new flows; executionLimit(), the slots, is for requests on open flows. - An opening is returned once the target has rejected all delivered copies. Before, the first reset sent it to another target although this one might open the flow by the second copy. The map of repeated resets is gone. - An opening that was rejected during a suspension of the agent is dropped. - Resets after the caller's close, or without a request in flight, are no failures and don't halve the limit. - A trial whose caller closes the flow no longer blocks others for 5 s. - Requests delivered to an earlier incarnation are no failures of the next.

Tests: The checks of the package lists pass; steering and targethealth pass three times with the race detector. The new steering tests for these faults failed before, except those for the API that is new and the one for heartbeats of the same incarnation, which held. In the flapping test, 15 of 1,400 flows are reset instead of 28, and the target gets 41 instead of 79. Changed tests: - TestFastErrorsMakeATargetFailing and TestFastErrorsMakeTheTargetFailing need a baseline and eight errors, and check the recovery. - TestTargetThatFailsPartOfItsRequestsGetsFew has missing answers in place of fast errors, which can't be told from short requests any more. - fail() uses missing answers for the same reason. - TestRejectedOpeningGoesBackToItsBalancer wants the opening back after the resets of both copies; it accepted the fault.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -111,7 +111,6 @@
 		a.stopping = true
 	case *Tick:
 		a.flows.sweep(now, func(f *localFlow) { a.recordUnanswered(now, f) })
-		a.sweepHealth(now)
 		a.reportSilentTarget(now)
 		a.probeMissingTarget(now)
 		a.balancers.tick(now)
@@ -179,7 +178,7 @@
 	}
 	a.flows.addOpening(now, msg)
 	a.recordOfferAdmitted(now, from, msg)
-	a.flows.slots = a.target.slots
+	a.flows.slots = a.executionLimit()
 	a.Counters.Admitted.Add(1)
 	a.countAdmitted(msg)
 	a.report(Report{Text: "Opening the flow.", Flow: s.Flow, Node: from.Addr().String(), Revision: a.limits.Revision})
--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -13,9 +13,6 @@
 	// typicalTimeTTL is how long the typical request time of the last ping that had one is
 	// used: as long as a balancer that does not ping is kept.
 	typicalTimeTTL = balancerTimeout
-	// repeatedResetTTL is how long resets of further copies of a rejected opening segment are
-	// expected: as long as callers repeat it, and some time for a slow target.
-	repeatedResetTTL = halfOpenTimeout
 )
 
 // healthSection holds what the agent knows of the health of its target.
@@ -28,9 +25,6 @@
 	// typicalTime is the newest typical request time of the service, received at typicalAt.
 	typicalTime time.Duration
 	typicalAt   time.Time
-	// rejected is when opening segments were rejected of which several copies had been
-	// delivered: the target rejects each of them.
-	rejected map[Flow]time.Time
 }
 
 // flowHealth is the part of a flow's state that the detection of failing targets uses.
@@ -40,7 +34,8 @@
 	hasObjective bool
 	// answered reports that the target has answered a request of the flow.
 	answered bool
-	// counted reports that the current request was counted as unanswered.
+	// counted reports that the current request was counted as unanswered, or is left out as
+	// it was delivered to an earlier incarnation of the target.
 	counted bool
 	// implausible reports that the time of the current answer says nothing about the
 	// duration of requests.
@@ -54,9 +49,10 @@
 // keptOpening is an opening segment that the target has not responded to.
 type keptOpening struct {
 	segment Segment
-	// balancer has sent the last copy, the number of which is copies.
+	// balancer has sent the last copy.
 	balancer netip.AddrPort
-	copies   int
+	// copies counts the copies that were delivered, rejected those that the target rejected.
+	copies, rejected int
 }
 
 // recordTypicalTime records the typical request time in a ping.
@@ -97,10 +93,10 @@
 }
 
 // trialDue reports whether a flow may be opened at the failing target as a trial. A trial whose
-// caller has sent no request ends without an outcome, or as failed if the target has not responded.
+// caller has sent no request, or has given it up, ends without an outcome, or as failed if the target has not responded.
 func (a *Agent) trialDue(now time.Time) bool {
 	h := &a.health
-	if h.trial != nil && !h.trial.busy {
+	if h.trial != nil && (!h.trial.busy || h.trial.health.callerClosed) {
 		if h.trial.responded {
 			h.detector.CancelTrial()
 		} else {
@@ -142,7 +138,6 @@
 	segment := offer.Segment
 	segment.Raw = bytes.Clone(segment.Raw)
 	f.health.opening = &keptOpening{segment: segment, balancer: from, copies: 1}
-	delete(a.health.rejected, segment.Flow)
 	if !offer.NonIdempotent && a.trialDue(now) {
 		a.health.trial = f
 		a.health.detector.StartTrial(now)
@@ -169,27 +164,30 @@
 	h.opening = nil
 }
 
-// returnRejected returns the opening segment that the target rejects with a segment to its
-// balancer, if it does. The caller does not receive the reset.
+// returnRejected returns an opening segment to its balancer once the target has rejected all
+// copies of it, and reports whether a segment of the target rejects one. The caller does not
+// receive the reset. The target may still open the flow as long as it has not rejected each copy.
 func (a *Agent) returnRejected(now time.Time, s *Segment) bool {
 	f := a.flows.byFlow[s.Flow]
 	if f == nil {
-		_, repeated := a.health.rejected[s.Flow]
-		return repeated && s.Flags.Has(FlagReset)
+		return false
 	}
 	kept := f.health.opening
-	f.health.opening = nil
 	if kept == nil || f.responded || f.established || !s.Flags.Has(FlagReset) {
+		f.health.opening = nil
 		return false
 	}
+	a.flows.unansweredSince = time.Time{}
+	if kept.rejected++; kept.rejected < kept.copies {
+		return true
+	}
 	a.Counters.Rejected.Add(1)
 	a.observeOutcome(now, f, outcomeReset, 0)
 	a.flows.recordReturned(now, s.Flow)
-	if kept.copies > 1 {
-		if a.health.rejected == nil {
-			a.health.rejected = make(map[Flow]time.Time)
-		}
-		a.health.rejected[s.Flow] = now
+	if a.suspensions.inBacklog(now) {
+		// The segment is at least as old as the suspension: see inBacklog.
+		a.Counters.OpenStale.Add(1)
+		return true
 	}
 	a.refuseOpen(kept.balancer, kept.segment, RefusedFailing)
 	return true
@@ -206,7 +204,7 @@
 	if a.sinceDelivery(now, f) > a.unansweredAfter(now) {
 		return targethealth.Unanswered
 	}
-	return targethealth.Classify(now.Sub(f.deliveredAt), a.typicalRequestTime(now))
+	return a.health.detector.Classify(now.Sub(f.deliveredAt), a.typicalRequestTime(now))
 }
 
 // recordHealth records the outcome of a request in the detector.
@@ -215,12 +213,10 @@
 	if !h.hasObjective {
 		return
 	}
-	result := targethealth.Result{Outcome: targethealth.Reset, First: !h.answered}
+	result := targethealth.Result{Outcome: targethealth.Reset, Elapsed: elapsed, First: !h.answered}
 	if outcome == outcomeAnswered {
 		h.answered = true
 		result.Outcome = a.classifyAnswer(now, f)
-	} else if f.awaitingRequest && f.responded {
-		return // no request was in flight
 	}
 	if h.counted {
 		h.counted = false
@@ -265,18 +261,13 @@
 	}
 }
 
-// sweepHealth deletes expired state.
-func (a *Agent) sweepHealth(now time.Time) {
-	for f, at := range a.health.rejected {
-		if now.Sub(at) > repeatedResetTTL {
-			delete(a.health.rejected, f)
-		}
-	}
-}
-
-// restartHealth makes a new incarnation of the target healthy.
+// restartHealth makes a new incarnation of the target healthy. Requests that were delivered
+// before may have been the previous one's, and are left out.
 func (a *Agent) restartHealth() {
-	a.health.detector, a.health.trial, a.health.rejected = targethealth.Detector{}, nil, nil
+	a.health.detector, a.health.trial = targethealth.Detector{}, nil
+	for _, f := range a.flows.byFlow {
+		f.health.counted = true
+	}
 }
 
 // targetRecovered is called when the target is no longer failing.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -127,7 +127,7 @@
 	Ahead [NumPriorities]uint16
 	// RequestTime is the mean time of a request that finds a free slot, 0 if unknown.
 	RequestTime time.Duration
-	// Concurrency is the number of requests that the agent lets the target execute at once, 0
+	// Concurrency is the number of requests up to which the agent admits new flows, 0
 	// if unknown. It is below Slots while the target warms up.
 	Concurrency uint16
 	// Flows is the number of open flows.
--- a/internal/core/steering/pace.go
+++ b/internal/core/steering/pace.go
@@ -82,7 +82,8 @@
 	return a.identity.Pace && !a.pace.objectiveAt.IsZero() && now.Sub(a.pace.objectiveAt) <= objectiveTTL
 }
 
-// pacedConcurrency returns the number of requests that the target may execute at once.
+// pacedConcurrency returns the number of requests up to which new flows are admitted. Requests on
+// open flows may run beside them.
 func (a *Agent) pacedConcurrency(now time.Time) int {
 	if !a.paces(now) {
 		return a.target.slots
@@ -90,8 +91,7 @@
 	return min(a.pace.limiter.Limit(), a.target.slots)
 }
 
-// Concurrency returns the number of requests that the agent lets the target execute at once,
-// for metrics.
+// Concurrency returns the number of requests up to which the agent admits new flows, for metrics.
 func (a *Agent) Concurrency(now time.Time) int { return a.pacedConcurrency(now) }
 
 // hasWaitingRequests reports whether requests wait for the target, at the agent or at a
--- a/internal/core/steering/pace_test.go
+++ b/internal/core/steering/pace_test.go
@@ -295,3 +295,38 @@
 	a.step(&steering.MessageReceived{From: balancerPeer, Message: steering.Message{Kind: steering.MessageForward, Segment: forwarded, Demand: demand}})
 	a.wantConcurrency(pacedSlots, "after misdirected segments")
 }
+
+// Errors within 1.6 ms must not raise the limit of a target that takes 40 ms. Load: single requests
+// at a target of which two slow answers have halved the limit.
+func TestFastErrorsDoNotRaiseLimit(t *testing.T) {
+	a := newPacedAgent(t, pacedStart, true)
+	a.heartbeat(7, 5000, 0)
+	a.pingTypical(pacedRequestTime)
+	for range 32 {
+		a.request(pacedObjective, pacedRequestTime, steering.FlagAck)
+	}
+	a.pingTypical(pacedRequestTime)
+	for range 2 {
+		a.request(pacedObjective, 5*pacedRequestTime, steering.FlagAck)
+	}
+	a.wantConcurrency(3, "after two slow answers")
+	for range 3 {
+		a.request(pacedObjective, 1600*time.Microsecond, steering.FlagAck)
+	}
+	a.wantConcurrency(3, "after three errors")
+}
+
+// A flow that its target resets while no request runs must not halve the limit. Load: flows that
+// are opened and get no request.
+func TestResetsWithoutRequestDoNotHalve(t *testing.T) {
+	a := newPacedAgent(t, pacedStart, true)
+	a.heartbeat(7, 5000, 0)
+	a.pingTypical(pacedRequestTime)
+	s := a.nextOpening()
+	a.step(&steering.MessageReceived{From: balancerPeer, Message: steering.Message{
+		Kind: steering.MessageOpen, Service: steering.ServiceIDOf("s"), Segment: s, Demand: steering.Demand{Objective: pacedObjective},
+	}})
+	a.step(&steering.SegmentReceived{Segment: steering.Segment{Flow: s.Flow, Flags: steering.FlagOpen | steering.FlagAck}})
+	a.endRequest(s.Flow, steering.FlagReset)
+	a.wantConcurrency(pacedSlots, "after the reset of an idle flow")
+}
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -44,7 +44,7 @@
 	Incarnation int64 `json:"lifetime"`
 	Draining    bool  `json:"draining"`
 	Slots       int   `json:"slots"`
-	// Concurrency is the number of requests that the agent lets the target execute at once.
+	// Concurrency is the number of requests up to which the agent admits new flows.
 	Concurrency int `json:"concurrency"`
 	// InFlight is the number of requests queued or executing.
 	InFlight int `json:"work"`
--- a/internal/core/targethealth/targethealth.go
+++ b/internal/core/targethealth/targethealth.go
@@ -11,6 +11,9 @@
 	// maxFailures is the number of failures in a row that make a target failing. Single
 	// errors and timeouts are normal.
 	maxFailures = 3
+	// maxFast is the number of too fast answers in a row that make a target failing. A few
+	// short requests in a row are normal in a service that hardly ever has them.
+	maxFast = 8
 	// maxResets is the number of resets in a row that make a target failing. A working
 	// target hardly ever resets a flow instead of answering.
 	maxResets = 2
@@ -20,6 +23,10 @@
 	// down and up are back within a second; a failed trial costs a caller one attempt.
 	firstTrialDelay  = 200 * time.Millisecond
 	maxTrialInterval = 2 * time.Second
+	// flapWindow is the time after a recovery within which another failure continues the
+	// doubling of the trial interval. A target that goes down and up each 0.7 s would cost two
+	// callers and a trial each time.
+	flapWindow = 5 * time.Second
 	// unansweredRatio is the time without an answer, relative to the typical time, after
 	// which a request counts as failed. A few percent of the requests take seven times the
 	// mean.
@@ -61,9 +68,10 @@
 }
 
 // Classify returns the outcome of a request that was answered after a time. The typical time is
-// that of the service's requests, 0 if unknown.
-func Classify(elapsed, typical time.Duration) Outcome {
-	if typical >= minJudgedTime && elapsed < typical/fastRatio {
+// that of the service's requests, 0 if unknown. Answers can only be too fast for a target that
+// hardly ever answered that fast while it was healthy.
+func (d *Detector) Classify(elapsed, typical time.Duration) Outcome {
+	if limit := typical / fastRatio; typical >= minJudgedTime && elapsed < limit && d.baseline.hardlyEverFaster(limit) {
 		return TooFast
 	}
 	return Answered
@@ -72,6 +80,8 @@
 // Result is the outcome of one request.
 type Result struct {
 	Outcome Outcome
+	// Elapsed is the time in which the request was answered, if it was.
+	Elapsed time.Duration
 	// First reports that it was the first request of its flow, or the opening of the flow.
 	First bool
 	// Trial reports that the flow was opened as a trial.
@@ -90,6 +100,14 @@
 
 // Detector holds the state of one target. The zero value is that of a healthy target.
 type Detector struct {
+	// baseline holds the times of answers while the target was healthy.
+	baseline baseline
+
+	// fast counts the too fast answers since the last other answer, and fastBuckets are their
+	// buckets in the baseline. They are learned when another answer shows that the target
+	// works.
+	fast        int
+	fastBuckets [maxFast]uint8
 	// failures and resets count those since the last answer; firstResets counts the resets of
 	// first requests since a first request was answered. A target may go on answering on
 	// flows that were open before while it resets each new flow.
@@ -106,6 +124,8 @@
 	trialRunning  bool
 	nextTrial     time.Time
 	trialInterval time.Duration
+	// recoveredAt is when the target last recovered. The trial interval of then is kept.
+	recoveredAt time.Time
 }
 
 // Failing reports whether the target is failing.
@@ -119,8 +139,10 @@
 	if r.Outcome == Answered {
 		return d.recordAnswer(now, r)
 	}
-	d.failures++
 	d.answers = 0
+	if r.Outcome != TooFast {
+		d.failures++
+	}
 	if r.Outcome == Reset {
 		d.resets++
 		if r.First {
@@ -133,6 +155,10 @@
 		}
 		return Unchanged
 	}
+	if r.Outcome == TooFast {
+		d.fastBuckets[d.fast] = uint8(bucketOf(r.Elapsed))
+		d.fast++
+	}
 	switch {
 	case d.resets >= maxResets:
 		d.reason = fmt.Sprintf("%d resets in a row", d.resets)
@@ -140,11 +166,19 @@
 		d.reason = fmt.Sprintf("%d new flows reset in a row", d.firstResets)
 	case d.failures >= maxFailures:
 		d.reason = fmt.Sprintf("%d failures in a row, the last: %v", d.failures, r.Outcome)
+	case d.fast >= maxFast:
+		d.reason = fmt.Sprintf("%d answers in a row that were too fast", d.fast)
 	default:
 		return Unchanged
 	}
 	d.failing, d.onNewFlows = true, d.firstResets >= maxResets
-	d.trialInterval, d.nextTrial = firstTrialDelay, now.Add(firstTrialDelay)
+	d.fast = 0
+	if d.recoveredAt.IsZero() || now.Sub(d.recoveredAt) >= flapWindow {
+		d.trialInterval = firstTrialDelay
+	} else {
+		d.trialInterval = min(2*d.trialInterval, maxTrialInterval)
+	}
+	d.nextTrial = now.Add(d.trialInterval)
 	return BecameFailing
 }
 
@@ -156,16 +190,30 @@
 	if r.Trial {
 		d.trialRunning, d.nextTrial = false, now
 	}
-	if !d.failing || d.onNewFlows && !r.First {
+	if !d.failing {
+		d.learn(r.Elapsed)
+		return Unchanged
+	}
+	if d.onNewFlows && !r.First {
 		return Unchanged
 	}
 	if d.answers++; d.answers < minAnswers {
 		return Unchanged
 	}
-	*d = Detector{}
+	*d = Detector{baseline: d.baseline, trialInterval: d.trialInterval, recoveredAt: now}
 	return Recovered
 }
 
+// learn adds the time of an answer of the healthy target to the baseline, and those of the fast
+// answers before it.
+func (d *Detector) learn(elapsed time.Duration) {
+	for _, bucket := range d.fastBuckets[:d.fast] {
+		d.baseline.add(int(bucket))
+	}
+	d.fast = 0
+	d.baseline.add(bucketOf(elapsed))
+}
+
 // FailTrial records that a trial failed, which delays the next one.
 func (d *Detector) FailTrial(now time.Time) {
 	d.trialRunning = false
