Check a configuration of direct server return before it is stored

Cause: operators learned of a malformed or contradictory configuration from the balancers' logs after they had stored it, without a position, and of a field of another type only the first one.

Change: - platform decodes the configuration field by field, goes on after errors and gives each its line, column and field. DecodeOperatorState uses this decoder; the log lines of the balancers stay bounded. Nodes accept the same documents as before, except that of repeated keys only the last one counts now; package json also rejected a mistyped earlier one and merged repeated arrays. Fields that only the check reads never make nodes reject a configuration. - internal/directcheck finds entries that can never match and limits that contradict each other, and compares two configurations. - "amaranthctl direct check FILE [--against FILE]" prints findings and differences as text or JSON. The exit code is 2 with errors, 0 with warnings only. - findings.Place has a column.

Tests: gofmt, go vet and staticcheck report nothing. The tests of internal/ctl, platform, internal/direct, internal/docscheck, internal/directcheck and of the operator module pass; internal/daemon has none. FuzzConfiguration found nothing in 30 s (770,799 executions).

--- a/Makefile
+++ b/Makefile
@@ -80,6 +80,7 @@
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/wire
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/steerwire
 	go test -run '^$$' -fuzz FuzzPacket -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzConfiguration -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/core/directory
 	go test -run '^$$' -fuzz FuzzTxnResponse -fuzztime $(FUZZTIME) ./internal/store
 	go test -run '^$$' -fuzz FuzzWatchStream -fuzztime $(FUZZTIME) ./internal/store
--- a/internal/ctl/direct.go
+++ b/internal/ctl/direct.go
@@ -29,10 +29,11 @@
 	}
 	return &cli.Command{
 		Name:  "direct",
-		Usage: "query the balancers and agents of direct server return; needs no store",
+		Usage: "query the balancers and agents of direct server return and check its configuration; needs no store",
 		Commands: []*cli.Command{
 			{Name: "status", Usage: "show the view of each host, with ages", Flags: hosts(), Action: a.wrapAction(a.directStatus)},
 			{Name: "explain", Usage: "show what each host knows of a flow", ArgsUsage: "FLOW", Flags: hosts(), Action: a.wrapAction(a.directExplain)},
+			a.directCheckCommand(),
 		},
 	}
 }
--- a/internal/ctl/directdiscovery.go
+++ b/internal/ctl/directdiscovery.go
@@ -41,8 +41,8 @@
 // discoverHosts starts at the hosts on the command line. It fails if no host
 // responds.
 func discoverHosts(ctx context.Context, cmd *cli.Command) (*hostDiscovery, error) {
-	if f := outputFormat(cmd.String(flagOutput)); !f.isValid() {
-		return nil, inputErrorf("--%s %q is unknown; want table or json", flagOutput, f)
+	if _, err := readFormat(cmd); err != nil {
+		return nil, err
 	}
 	d := &hostDiscovery{client: http.Client{Timeout: hostTimeout}, views: make(map[netip.AddrPort]steering.View)}
 	var next []netip.AddrPort
--- a/operator/findings/findings.go
+++ b/operator/findings/findings.go
@@ -14,16 +14,21 @@
 	File string
 	// Line counts from 1.
 	Line int
+	// Column counts bytes from 1.
+	Column int
 	// Key is the dotted path of the key or object.
 	Key string
 }
 
-// String returns the place as "file:line: key".
+// String returns the place as "file:line:column: key".
 func (p Place) String() string {
 	var b strings.Builder
 	b.WriteString(p.File)
 	if p.Line > 0 {
 		fmt.Fprintf(&b, ":%d", p.Line)
+		if p.Column > 0 {
+			fmt.Fprintf(&b, ":%d", p.Column)
+		}
 	}
 	if p.Key != "" {
 		if b.Len() > 0 {
