--- a/internal/core/steering/outcome_test.go
+++ b/internal/core/steering/outcome_test.go
@@ -12,6 +12,7 @@
 	a := NewAgent(AgentIdentity{Service: "s", HeartbeatInterval: 500 * time.Millisecond, Pace: true})
 	a.Step(now, &Heartbeat{Instance: "i", Service: "s", Incarnation: 7, Sequence: 1, Slots: 6})
 	a.pace.objectiveAt = now
+	a.health.typicalTime, a.health.typicalAt = 40*time.Millisecond, now
 	if concurrency, execution := a.concurrency(), a.executionLimit(); concurrency != 2 || execution != 6 {
 		t.Errorf("concurrency %d and execution limit %d, want 2 and 6", concurrency, execution)
 	}
--- a/internal/core/steering/pace.go
+++ b/internal/core/steering/pace.go
@@ -76,10 +76,12 @@
 	}
 }
 
-// paces reports whether pacing acts: it is switched on, and a route of the target has an
-// objective.
+// paces reports whether pacing acts: it is switched on, a route of the target has an
+// objective, and balancers report a typical request time. Without one, hardly any target of
+// the service has answered lately: all of them start, and there is nothing else to send to.
 func (a *Agent) paces(now time.Time) bool {
-	return a.identity.Pace && !a.pace.objectiveAt.IsZero() && now.Sub(a.pace.objectiveAt) <= objectiveTTL
+	hasObjective := !a.pace.objectiveAt.IsZero() && now.Sub(a.pace.objectiveAt) <= objectiveTTL
+	return a.identity.Pace && hasObjective && a.typicalRequestTime(now) > 0
 }
 
 // pacedConcurrency returns the number of requests up to which new flows are admitted. Requests on
--- a/internal/core/steering/pace_test.go
+++ b/internal/core/steering/pace_test.go
@@ -69,8 +69,10 @@
 	a.endRequest(f, flags)
 }
 
-// showObjective opens a flow of a route with an objective.
+// showObjective opens a flow of a route with an objective, of a service whose other targets
+// answer.
 func (a *pacedAgent) showObjective() {
+	a.pingTypical(pacedRequestTime)
 	a.step(&steering.MessageReceived{From: balancerPeer, Message: steering.Message{
 		Kind: steering.MessageOpen, Service: steering.ServiceIDOf("s"), Segment: a.nextOpening(), Demand: steering.Demand{Objective: pacedObjective},
 	}})
@@ -131,6 +133,19 @@
 	a.wantConcurrency(2, "replaced")
 }
 
+// A service that starts whole, as after a loss of power, must have all slots at once: there is
+// no other target to send to. Load: all callers return at the same time.
+func TestServiceThatStartsWholeIsNotPaced(t *testing.T) {
+	a := newPacedAgent(t, pacedStart, true)
+	a.heartbeat(7, 1, 2*time.Second)
+	f := a.startRequest(pacedObjective)
+	a.wantConcurrency(pacedSlots, "no target has answered")
+	a.now = a.now.Add(pacedRequestTime)
+	a.endRequest(f, steering.FlagAck)
+	a.pingTypical(pacedRequestTime)
+	a.wantConcurrency(3, "others have answered")
+}
+
 // The limit must rise by one with each answer in the usual time, and the log must say when the
 // ramp begins and ends. Load: five requests, one after the other, at a new target.
 func TestRampOfNewTarget(t *testing.T) {
@@ -241,6 +256,7 @@
 	a.showObjective()
 	a.now = a.now.Add(10 * time.Second)
 	a.step(&steering.Tick{})
+	a.pingTypical(pacedRequestTime)
 	a.wantConcurrency(2, "after a freeze of 10 s")
 	a.now = a.now.Add(500 * time.Millisecond)
 	a.step(&steering.Tick{})
