Send all segments of a request after the flow that is searched

Two segments of a request reach a balancer that does not know their flow, and both are probed at an agent that does not hold it. When the second one came back, the flow had gone on to the next agent and the segment was dropped; its caller sent it again after 200 ms.

--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -72,10 +72,11 @@
 	return int(math.Ceil(m.estimateAhead(now, priority)))
 }
 
-// occupancy estimates the requests of all priorities for each that the target may execute
-// at once.
-func (m *member) occupancy(now time.Time) float64 {
-	return m.estimateAhead(now, NumPriorities-1) / float64(m.status.Concurrency)
+// relativeLoad estimates the whole requests of all priorities for each that the target may
+// execute at once. Equal ones leave the choice to the rank, by which other balancers guess
+// the holder of a flow.
+func (m *member) relativeLoad(now time.Time) float64 {
+	return math.Round(m.estimateAhead(now, NumPriorities-1)) / float64(m.status.Concurrency)
 }
 
 // hasFreeSlot reports whether the target would execute a request of the priority at once.
@@ -102,10 +103,10 @@
 		return m.load(now) < other.load(now)
 	}
 	if m.wait(now, priority) == 0 && other.wait(now, priority) == 0 {
-		return m.occupancy(now) < other.occupancy(now)
+		return m.relativeLoad(now) < other.relativeLoad(now)
 	}
 	mine, others := m.answerTime(now, priority), other.answerTime(now, priority)
-	return mine < others || mine == others && m.occupancy(now) < other.occupancy(now)
+	return mine < others || mine == others && m.relativeLoad(now) < other.relativeLoad(now)
 }
 
 // soonest returns the candidate that could answer sooner, the higher ranked one if equal.
--- a/internal/core/steering/guess.go
+++ b/internal/core/steering/guess.go
@@ -51,7 +51,7 @@
 		return
 	case stageOpening, stageHeld, stageProbing, stageTrial:
 		if e.agent != m {
-			// Another agent was found meanwhile; the caller retransmits the segment.
+			b.followFlow(e, s)
 			return
 		}
 	case stageNew, stageQueued:
@@ -62,3 +62,16 @@
 	e.recordOffer(m)
 	b.findHolder(now, e, s)
 }
+
+// followFlow sends a segment that came back from an agent which is not the holder to the agent
+// that was found or probed meanwhile. Several segments of a request arrive at once; if only the
+// first one followed the flow, the caller would have to retransmit the others after 200 ms.
+func (b *Balancer) followFlow(e *flowEntry, s Segment) {
+	switch e.stage {
+	case stageHeld:
+		b.sendSegment(e.agent, MessageForward, s)
+	case stageProbing:
+		b.sendSegment(e.agent, MessageProbe, s)
+	case stageNew, stageOpening, stageSearching, stageTrial, stageLost, stageQueued:
+	}
+}
