Replay loads in virtual time on targets with slots

No test ran callers with deadlines, retries and several kinds of requests against targets with a limited number of slots. The simulated world gets such callers and targets, and two replays: four times the capacity for 10 s, and one kind of caller at ten times its usual load.

--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -70,6 +70,8 @@
 	storeSilent bool
 	// idempotent makes the requests of the route idempotent.
 	idempotent bool
+	// load drives callers and targets with slots instead of the steady callers, nil if unused.
+	load *load
 }
 
 // savedFlows is the flows that an agent has saved, and its registrations until then.
@@ -229,9 +231,13 @@
 		out[d] = is
 	}
 	route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}, NonIdempotent: !w.idempotent}
+	routes := map[steering.Endpoint]*steering.Route{routeAddress: route}
+	if w.load != nil {
+		routes = w.load.routes()
+	}
 	w.stepBalancer(b, &steering.ConfigurationLoaded{State: steering.OperatorState{
 		Revision: w.revision, VerifiedRevision: w.revision, DomainsOut: out,
-		Configuration: &steering.Configuration{Version: w.version, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
+		Configuration: &steering.Configuration{Version: w.version, Routes: routes},
 	}, ConfirmedAt: w.now})
 	e := &steering.MembersLoaded{Revision: w.revision, VerifiedRevision: w.revision}
 	for _, a := range w.agents {
@@ -340,10 +346,14 @@
 		return
 	}
 	t.sequence++
+	slots := targetSlots
+	if w.load != nil {
+		slots = loadTargetSlots
+	}
 	if a.up {
 		w.stepAgent(a, &steering.Heartbeat{
 			Instance: a.instance(), Service: serviceName, Domain: a.domain, Incarnation: t.incarnation,
-			Sequence: t.sequence, Draining: t.draining, Slots: targetSlots,
+			Sequence: t.sequence, Draining: t.draining, Slots: slots,
 		})
 	}
 	w.schedule(heartbeatInterval, func() { w.sendHeartbeats(a, t) })
@@ -433,7 +443,7 @@
 }
 
 func (w *world) deliverMessage(from, to netip.AddrPort, m steering.Message) {
-	if w.rand.Float64() < w.lossRate {
+	if w.load.countMessage(from, to, &m) || w.rand.Float64() < w.lossRate {
 		return
 	}
 	w.schedule(hopDelay, func() {
@@ -460,6 +470,10 @@
 	if !t.up || t.dropsSegments {
 		return
 	}
+	if w.load != nil {
+		w.load.deliver(a, s, origin)
+		return
+	}
 	w.checkMisdirection(a, s)
 	if s.IsOpening() {
 		if t.flows[s.Flow] == nil {
@@ -539,6 +553,10 @@
 // resetCaller resets a caller's flow and checks that its target no longer holds
 // it.
 func (w *world) resetCaller(f steering.Flow) {
+	if w.load != nil {
+		w.load.resetBySystem(f)
+		return
+	}
 	c := w.callers[f]
 	if c == nil {
 		return
@@ -552,7 +570,12 @@
 func (w *world) elapsed() time.Duration { return w.now.Sub(time.Unix(1_000_000, 0)) }
 
 func (w *world) deliverToCaller(s steering.Segment, a *agentNode) {
+	from := a.target
 	w.schedule(hopDelay, func() {
+		if w.load != nil {
+			w.load.receive(s, from)
+			return
+		}
 		c := w.callers[s.Flow]
 		if c == nil || c.reset {
 			return
@@ -596,7 +619,7 @@
 func (w *world) sendToBalancer(s steering.Segment) {
 	var up []*balancerNode
 	for _, b := range w.balancers {
-		if b.up {
+		if b.up && w.load.reaches(b, s.Flow) {
 			up = append(up, b)
 		}
 	}
