--- a/internal/core/steering/load_world_test.go
+++ b/internal/core/steering/load_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
@@ -20,6 +21,8 @@
 	targetQueuePerSlot = 4
 	// maxOffersPerCopy is the number of agents to which one opening segment is offered.
 	maxOffersPerCopy = 4
+	// maxKeptSegments is the number of segments of a flow that an agent keeps.
+	maxKeptSegments = 16
 	// noticesPerSecond is the highest rate of capacity notices of an agent.
 	noticesPerSecond = 500
 )
@@ -49,7 +52,9 @@
 	asked, answered, inTime, failed    int
 	refusedAttempts, timedOutAttempts  int
 	neverOffered, lostWithTarget, open int
-	workDone                           time.Duration
+	// answeredDuring and workDuring are the answers and the work done while the load lasted.
+	answeredDuring int
+	workDuring     time.Duration
 }
 
 // load drives callers of several kinds and holds the state of targets with slots.
@@ -57,6 +62,7 @@
 	w         *world
 	kinds     []*requestKind
 	startedAt time.Time
+	endsAt    time.Time
 	flows     map[steering.Flow]*callerFlow
 	targets   map[*target]*loadTarget
 	// speed is the speed of an agent's target relative to the declared work times.
@@ -79,21 +85,25 @@
 	offered  bool
 	done     bool
 	flow     *callerFlow
+	// ranAt is the target that may have run the request, nil if none or if it reported that
+	// it did not.
+	ranAt *target
 }
 
 // callerFlow is a flow of a caller under load.
 type callerFlow struct {
-	flow     steering.Flow
-	kind     *requestKind
-	domain   string
-	request  *loadRequest // nil while idle
-	openedAt time.Time
-	holder   *target
-	closed   bool
+	flow    steering.Flow
+	kind    *requestKind
+	domain  string
+	request *loadRequest // nil while idle
+	holder  *target
+	closed  bool
 	// seq is the sequence number of the next request, ack that of the next response.
 	seq, ack uint32
-	// delivered reports that a byte of the current request has reached a target.
-	delivered bool
+	// releasedAt is when the flow's data was last delivered to the target, in released
+	// segments.
+	releasedAt time.Time
+	released   int
 }
 
 // loadTarget is the state of a target under load.
@@ -105,7 +115,9 @@
 
 type loadTargetFlow struct {
 	seq, received uint32
-	busy          bool
+	// busy is set while a request runs or is queued. closing is set once the caller has
+	// closed the flow.
+	busy, closing bool
 	// response is the last response, which answers a repeated request.
 	response steering.Segment
 }
@@ -159,7 +171,7 @@
 // run applies the load for a time, waits until every caller has an outcome and checks the
 // invariants.
 func (l *load) run(d time.Duration) {
-	l.startedAt = l.w.now
+	l.startedAt, l.endsAt = l.w.now, l.w.now.Add(d)
 	for _, k := range l.kinds {
 		l.scheduleArrival(k, d)
 	}
@@ -198,6 +210,9 @@
 		if c := r.flow; c != nil {
 			k.timedOutAttempts++
 			l.close(c)
+			if c.holder != nil && !c.holder.up && !k.idempotent {
+				k.lostWithTarget++
+			}
 		}
 		if !r.offered {
 			k.neverOffered++
@@ -252,10 +267,14 @@
 
 // retry repeats a request on a new flow after a failure, if the caller may.
 func (l *load) retry(r *loadRequest, notRun bool) {
+	c := r.flow
 	r.flow = nil
 	if r.done {
 		return
 	}
+	if !notRun && !r.kind.idempotent && !c.holder.up {
+		r.kind.lostWithTarget++
+	}
 	if r.attempts >= maxAttempts || !notRun && !r.kind.idempotent {
 		l.finish(r, false)
 		return
@@ -272,6 +291,9 @@
 		return
 	}
 	r.kind.answered++
+	if !l.w.now.After(l.endsAt) {
+		r.kind.answeredDuring++
+	}
 	// The caller of a lost segment repeats it after retransmitAfter, which the page allows.
 	if l.w.now.Sub(r.askedAt) <= r.kind.demand.Objective+retransmitAfter {
 		r.kind.inTime++
@@ -291,7 +313,6 @@
 // sendRequest sends the segments of a flow's request and repeats them until the response
 // arrives.
 func (l *load) sendRequest(c *callerFlow) {
-	c.delivered = false
 	l.sendSegments(c, c.request, retransmitAfter)
 }
 
@@ -332,6 +353,7 @@
 			l.close(c)
 		}
 		if s.Len == rejectionLength {
+			r.ranAt = nil
 			c.kind.refusedAttempts++
 			l.retry(r, true)
 		} else {
@@ -354,10 +376,7 @@
 		return
 	}
 	c.kind.refusedAttempts++
-	if c.delivered && !c.kind.idempotent {
-		c.kind.lostWithTarget++
-	}
-	l.retry(r, c.holder == nil || !c.delivered && !c.kind.longFlows)
+	l.retry(r, c.holder == nil)
 }
 
 // resetBySystem handles a reset by a balancer or an agent, which must not break a flow whose
@@ -386,6 +405,9 @@
 func (l *load) deliver(a *agentNode, s steering.Segment, origin netip.AddrPort) {
 	t, c := l.stateOf(a.target), l.flows[s.Flow]
 	f := t.flows[s.Flow]
+	if s.Len > 0 {
+		l.checkReleased(c)
+	}
 	if s.IsOpening() {
 		if f == nil {
 			f = &loadTargetFlow{seq: l.w.rand.Uint32(), received: 1}
@@ -406,8 +428,17 @@
 		}
 		return
 	case s.Flags&(steering.FlagClose|steering.FlagReset) != 0:
-		delete(t.flows, s.Flow)
-		l.w.sendFromTarget(a, a.target, steering.Segment{Flow: s.Flow, Flags: steering.FlagClose | steering.FlagAck, Seq: f.seq})
+		f.closing = true
+		t.queue = slices.DeleteFunc(t.queue, func(r *targetRequest) bool {
+			if r.flow != s.Flow {
+				return false
+			}
+			f.busy = false
+			return true
+		})
+		if !f.busy {
+			l.closeAtTarget(a, a.target, s.Flow)
+		}
 		return
 	case s.Len == 0 || s.Seq != f.received:
 		if s.Len > 0 && !f.busy && f.response.Len > 0 {
@@ -416,12 +447,35 @@
 		return
 	}
 	f.received += uint32(s.Len)
-	c.delivered = true
+	l.checkSingleRun(c, a.target)
 	if (f.received-1)%uint32(c.kind.segments*loadSegmentLength) == 0 {
 		l.startRequest(a, a.target, &targetRequest{s.Flow, c.kind})
 	}
 }
 
+// checkReleased checks that an agent does not keep more than a window of a flow's segments: it
+// delivers all that it has kept at once.
+func (l *load) checkReleased(c *callerFlow) {
+	if c.releasedAt != l.w.now {
+		c.releasedAt, c.released = l.w.now, 0
+	}
+	if c.released++; c.released > maxKeptSegments {
+		l.w.t.Errorf("%s: an agent delivered %d segments of flow %s at once", l.w.elapsed(), c.released, c.flow)
+	}
+}
+
+// checkSingleRun checks that a request that may not run twice reaches one target only.
+func (l *load) checkSingleRun(c *callerFlow, t *target) {
+	r := c.request
+	if r == nil || c.kind.idempotent {
+		return
+	}
+	if r.ranAt != nil && r.ranAt != t {
+		l.w.t.Errorf("%s: a request on flow %s reached a second target", l.w.elapsed(), c.flow)
+	}
+	r.ranAt = t
+}
+
 // startRequest runs, queues or rejects a request at a target.
 func (l *load) startRequest(a *agentNode, process *target, r *targetRequest) {
 	t := l.stateOf(process)
@@ -448,7 +502,9 @@
 				return
 			}
 			t.running--
-			r.kind.workDone += work
+			if !l.w.now.After(l.endsAt) {
+				r.kind.workDuring += work
+			}
 			l.respond(a, process, r, responseBytes)
 			l.runQueue(a, process)
 		})
@@ -471,15 +527,24 @@
 
 func (l *load) respond(a *agentNode, process *target, r *targetRequest, length int) {
 	f := l.stateOf(process).flows[r.flow]
-	if f == nil {
-		return // the caller gave the request up
-	}
 	f.busy = false
+	if f.closing {
+		l.closeAtTarget(a, process, r.flow)
+		return
+	}
 	f.response = steering.Segment{Flow: r.flow, Flags: steering.FlagAck, Seq: f.seq, Len: length}
 	f.seq += uint32(length)
 	l.w.sendFromTarget(a, process, f.response)
 }
 
+// closeAtTarget ends a flow at a target, after its running request if there is one.
+func (l *load) closeAtTarget(a *agentNode, process *target, flow steering.Flow) {
+	t := l.stateOf(process)
+	f := t.flows[flow]
+	delete(t.flows, flow)
+	l.w.sendFromTarget(a, process, steering.Segment{Flow: flow, Flags: steering.FlagClose | steering.FlagAck, Seq: f.seq})
+}
+
 // countMessage counts a message between nodes and reports whether it is lost.
 func (l *load) countMessage(from, to netip.AddrPort, m *steering.Message) (lost bool) {
 	if l == nil {
@@ -553,11 +618,12 @@
 	left := slots * float64(d)
 	for _, other := range l.kinds {
 		if other != k {
-			left -= float64(other.workDone)
+			left -= float64(other.workDuring)
 		}
 	}
 	possible := math.Min(float64(k.asked), left/float64(k.meanWork()))
-	if float64(k.answered) < share*possible {
-		l.w.t.Errorf("%s: %d of %d answered, want a share of %.2f of the %.0f for which there is capacity", k.name, k.answered, k.asked, share, possible)
+	if float64(k.answeredDuring) < share*possible {
+		l.w.t.Errorf("%s: %d of %d answered while the load lasted, want a share of %.2f of the %.0f for which there is capacity",
+			k.name, k.answeredDuring, k.asked, share, possible)
 	}
 }
