Move openings from agents that do not reply within 0.3 s

A balancer noticed a lost agent only after 1.2 s without a reply to its pings. Copies of an opening went to the same agent meanwhile, so callers with an objective were late: with three of nine targets lost, 1,164 of 1,233 posts were answered in time in TestLoadThirdOfTargetsLost, which failed.

When a copy of an opening arrives and its agent has not been heard since the offer, the balancer pings the agent. If the ping is unanswered after 25 ms (50 ms for another failure domain), checked on the tick, the agent gets no new flows with an objective until it is heard, and the openings that wait for it go to other agents, which are pinged with the offer. If more than half of a service's live agents are silent, nothing moves. The first agent is asked first for a segment that the second one does not hold. Routes without an objective are served as before. New counter direct_openings_moved.

Test results: TestLoadThirdOfTargetsLost passes unchanged, 1,203 of 1,228 posts in time. Of the other 25, 23 moved with 50 ms of the objective left, found no free slot and were dropped at the queue timeout. All tests of internal/core, direct, steerwire and docscheck pass.

--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -130,7 +130,7 @@
 
 // tierWithObjective is tierOf for a flow with a priority and a remaining objective.
 func (b *Balancer) tierWithObjective(now time.Time, m *member, class queueClass, remaining time.Duration) tier {
-	if !m.isLive(now) || now.Before(m.avoidUntil) || b.config.state.DomainsOut[m.record.Domain] {
+	if !m.isLive(now) || m.suspect || now.Before(m.avoidUntil) || b.config.state.DomainsOut[m.record.Domain] {
 		return tierNone
 	}
 	switch m.status.Refusal {
@@ -277,7 +277,7 @@
 	if !m.reportsWait() || !b.config.hasObjective(m.service) {
 		return true
 	}
-	return !m.isFailing() && m.hasFreeSlot(now, NumPriorities-1)
+	return !m.suspect && !m.isFailing() && m.hasFreeSlot(now, NumPriorities-1)
 }
 
 // medianRequestTime is the median request time of a service's agents at a time.
--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -24,7 +24,7 @@
 // BalancerCounters counts decisions since the start of the process.
 type BalancerCounters struct {
 	Opened, OpenStale, Queued, OpenExpired, Refused, Forwarded, Probed, Missed, Searched, Tried atomic.Uint64
-	ResetNoRoute, ResetLost, SearchesAbandoned, CacheFull, RefusedOverload                      atomic.Uint64
+	ResetNoRoute, ResetLost, SearchesAbandoned, CacheFull, RefusedOverload, OpeningsMoved       atomic.Uint64
 }
 
 // Balancer decides to which agent the segments of callers go.
@@ -37,6 +37,7 @@
 	members      memberSection
 	entries      map[Flow]*flowEntry
 	demand       demandCounters
+	silence      silenceSection
 
 	searches []Flow
 	queues   [numQueueClasses][]Flow
@@ -106,6 +107,7 @@
 	if m == nil {
 		return
 	}
+	m.recordAlive(now)
 	switch msg.Kind {
 	case MessagePong:
 		b.handlePong(now, m, msg.Status)
@@ -125,6 +127,7 @@
 func (b *Balancer) tick(now time.Time) {
 	b.refreshIfUnconfirmed(now)
 	b.releaseHeldDomains(now)
+	b.judgeSilentAgents(now)
 	b.pingDueMembers(now)
 	b.advanceSearches(now)
 	b.offerQueued(now)
--- a/internal/core/steering/guess.go
+++ b/internal/core/steering/guess.go
@@ -21,12 +21,16 @@
 }
 
 // likeliestHolder returns the highest ranked live agent of the flow's service that
-// was not probed yet, preferring the local failure domain.
+// was not probed yet, preferring the local failure domain. The agent from which the
+// opening was moved comes first: it may have opened the flow before.
 func (b *Balancer) likeliestHolder(now time.Time, e *flowEntry, f Flow) *member {
 	r := b.config.route(f.Address)
 	if r == nil {
 		return nil
 	}
+	if m := e.movedFrom; m != nil && !m.removed && m.isLive(now) && !e.wasOffered(m) {
+		return m
+	}
 	hash := f.Hash()
 	var local, remote topTwo
 	for _, m := range b.members.byService[r.pickService(hash)] {
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -64,6 +64,9 @@
 	// lastResort is set when the flow was offered to an agent that refuses flows as
 	// failing.
 	lastResort bool
+	// movedFrom is the first agent that did not reply to the opening, which then went to
+	// another one; nil if there is none. It may hold the flow.
+	movedFrom *member
 	// inBacklog is set while the flow counts in backlog; backlogSince is when that backlog
 	// began.
 	inBacklog    bool
@@ -132,20 +135,30 @@
 	}
 	b.countAsked(&s, r)
 	e := b.touchEntry(now, s.Flow)
-	retransmitted := s.Ack > 0
+	retransmitted := s.Ack > 0 || e.isDelayedFirst(now, &s)
 	if retransmitted && r.hasObjective() {
 		e.recordCopy(now, s.Ack)
 	}
 	switch {
 	case e.stage == stageHeld,
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
-		if e.stage == stageHeld {
+		switch {
+		case e.stage == stageHeld:
 			e.startCopies(now, s.Ack)
+		case !r.hasObjective() || !e.isUnheard():
+		case e.agent.suspect:
+			b.moveOpening(now, e, s, r)
+			return
+		default:
+			b.awaitReply(now, e, s)
 		}
 		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
 		// An agent that does not hold the flow refuses it if the route's service is not its own.
 		b.sendOpening(now, e, s, r, r.pickService(s.Flow.Hash()))
 		return
+	case e.stage == stageOpening && retransmitted && r.hasObjective():
+		b.moveOpening(now, e, s, r)
+		return
 	case e.stage == stageOpening && retransmitted:
 		e.mayBeOpen = true
 		b.offerNext(now, e, s, r)
@@ -208,6 +221,10 @@
 	m.startFastPing(now)
 	b.Counters.Opened.Add(1)
 	b.sendOpening(now, e, s, r, service)
+	if e.movedFrom != nil {
+		// The caller may send no further copy that would show that this agent is lost, too.
+		b.awaitReply(now, e, s)
+	}
 }
 
 // handleRefused offers a refused segment to another agent.
@@ -246,6 +263,7 @@
 	switch e.stage {
 	case stageOpening, stageHeld:
 		b.countAdmitted(now, e, &s)
+		e.recordOpened(&s)
 		e.stage = stageHeld
 		b.Counters.Forwarded.Add(1)
 		b.sendSegment(e.agent, MessageForward, s)
@@ -283,7 +301,7 @@
 // segments.
 func (b *Balancer) handleHeld(now time.Time, m *member, f Flow) {
 	e := b.touchEntry(now, f)
-	e.numOffered, e.trials = 0, 0
+	e.numOffered, e.trials, e.movedFrom = 0, 0, nil
 	e.setStage(stageHeld, m, now)
 	if e.search != nil {
 		segments := e.search.buffered
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -94,6 +94,14 @@
 	// to any balancer that pings it. countQueriedAt is when it was last queried for that.
 	agentCount     int
 	countQueriedAt time.Time
+	// aliveAt is the last time at which the agent is known to have been running.
+	aliveAt time.Time
+	// silentPingAt is when the agent was pinged because a copy of an opening arrived, zero
+	// once it was heard; lastSilentPing is when that was last done.
+	silentPingAt, lastSilentPing time.Time
+	// silent is set when that ping is overdue, until the agent is heard. suspect is set
+	// while the agent gets no new flows with an objective for that reason.
+	silent, suspect bool
 	// avoidUntil is the end of the backoff after a refusal.
 	avoidUntil time.Time
 }
@@ -286,7 +294,11 @@
 	b.startRemoteFastPing(now)
 	b.members.announcedCount = b.members.countListedOrLive(now)
 	for _, m := range b.members.all {
-		if now.Sub(m.lastPing) >= m.currentPingInterval(now) {
+		interval := m.currentPingInterval(now)
+		if m.suspect && now.Sub(m.lastContact()) < recoveryPingDuration {
+			interval = min(interval, recoveryPingInterval)
+		}
+		if now.Sub(m.lastPing) >= interval {
 			b.ping(now, m)
 		}
 	}
--- a/internal/core/steering/shedding_test.go
+++ b/internal/core/steering/shedding_test.go
@@ -37,12 +37,16 @@
 	offers  []offeredOpening
 	resets  map[uint16]string
 	typical time.Duration
+	// pings counts the pings to each agent, and probed lists the agents that got a probe.
+	pings   map[int]int
+	probed  []int
+	reports []steering.Report
 }
 
 // newObjectiveBalancer returns a balancer with an agent in each of the domains.
 func newObjectiveBalancer(domains ...string) *objectiveBalancer {
 	b := &objectiveBalancer{
-		now: time.Unix(1000, 0), resets: make(map[uint16]string),
+		now: time.Unix(1000, 0), resets: make(map[uint16]string), pings: make(map[int]int),
 		Balancer: steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "a"}, ApplyTimeout: applyTimeout}),
 	}
 	shares := []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}
@@ -74,11 +78,17 @@
 
 func (b *objectiveBalancer) step(e steering.Event) {
 	for _, effect := range b.Step(b.now, e) {
+		if effect.Kind == steering.EffectReport {
+			b.reports = append(b.reports, effect.Report)
+		}
 		switch {
 		case effect.Kind == steering.EffectSend && effect.Message.Kind == steering.MessageOpen:
 			b.offers = append(b.offers, offeredOpening{b.agentOf(effect.To), effect.Message})
 		case effect.Kind == steering.EffectSend && effect.Message.Kind == steering.MessagePing:
 			b.typical = effect.Message.TypicalRequestTime
+			b.pings[b.agentOf(effect.To)]++
+		case effect.Kind == steering.EffectSend && effect.Message.Kind == steering.MessageProbe:
+			b.probed = append(b.probed, b.agentOf(effect.To))
 		case effect.Kind == steering.EffectReset:
 			b.resets[effect.Flow.Caller.Port] = ""
 		case effect.Kind == steering.EffectReport && effect.Report.Text == "Flow is reset.":
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -229,6 +229,7 @@
 		"direct_open_expired":           &c.OpenExpired,
 		"direct_open_refused":           &c.Refused,
 		"direct_open_rejected_overload": &c.RefusedOverload,
+		"direct_openings_moved":         &c.OpeningsMoved,
 		"direct_carried":                &c.Forwarded,
 		"direct_guessed":                &c.Probed,
 		"direct_missed":                 &c.Missed,
