--- a/internal/core/steering/schedule_world_test.go
+++ b/internal/core/steering/schedule_world_test.go
@@ -11,9 +11,9 @@
 // a third of them, rounded up.
 const worldPlaces = targetSlots + 2
 
-// newOverloadedWorld returns a world of one target with 40 open flows that all send a request
+// newCrowdedWorld returns a world of one target with 40 open flows that all send a request
 // at the same time: eight times its slots.
-func newOverloadedWorld(t *testing.T) (*world, []*caller) {
+func newCrowdedWorld(t *testing.T) (*world, []*caller) {
 	t.Helper()
 	w, callers := newSteadyWorldOf(t, 21, steering.Demand{Priority: 2, Objective: time.Second, Timeout: 3 * time.Second}, 2, 1, 0)
 	for range 40 {
@@ -36,7 +36,7 @@
 // All flows send a request at once. The target never has more than its places, and each request
 // is answered, although callers send copies of those that wait.
 func TestRequestsBeyondThePlacesWaitAtTheAgent(t *testing.T) {
-	w, callers := newOverloadedWorld(t)
+	w, callers := newCrowdedWorld(t)
 	w.run(time.Second)
 	requireResponses(t, callers, 2)
 	if got := w.agents[0].target.maxDistinctInFlight; got != worldPlaces {
@@ -57,7 +57,7 @@
 // An agent is killed while requests wait: their segments are lost with it, their callers send
 // them again, and no flow is reset.
 func TestKeptRequestsSurviveTheDeathOfTheirAgent(t *testing.T) {
-	w, callers := newOverloadedWorld(t)
+	w, callers := newCrowdedWorld(t)
 	a := w.agents[0]
 	a.up, a.killedAt = false, w.now
 	w.run(50 * time.Millisecond)
@@ -69,7 +69,7 @@
 
 // An agent is stopped as planned while requests wait: it delivers them, and no flow is reset.
 func TestKeptRequestsSurviveAPlannedRestartOfTheirAgent(t *testing.T) {
-	w, callers := newOverloadedWorld(t)
+	w, callers := newCrowdedWorld(t)
 	a := w.agents[0]
 	stopAgent(w, a)
 	if got, want := a.target.requests, 2*len(callers); got != want {
@@ -85,7 +85,7 @@
 // A balancer is killed while requests that it forwarded wait: they stay and are answered without
 // another copy of the caller.
 func TestKeptRequestsSurviveTheDeathOfTheirBalancer(t *testing.T) {
-	w, callers := newOverloadedWorld(t)
+	w, callers := newCrowdedWorld(t)
 	w.balancers[0].up = false
 	w.run(time.Second)
 	requireResponses(t, callers, 2)
@@ -96,7 +96,7 @@
 // The target crashes while requests wait: its successor gets none of them, and the callers learn
 // that their flows have ended.
 func TestKeptRequestsDoNotReachTheNextTarget(t *testing.T) {
-	w, callers := newOverloadedWorld(t)
+	w, callers := newCrowdedWorld(t)
 	a := w.agents[0]
 	a.target.up = false
 	w.schedule(300*time.Millisecond, func() { w.startTarget(a) })
