Don't reset an opening of which an agent may have delivered a copy

A balancer sends a copy of an opening segment to the agent that has not replied to the earlier one. If the agent refuses the earlier copy and then delivers the later one, the balancer took the flow for unopened and could reset it under overload. The same held for a refusal of an opening that an earlier process of the balancer had offered.

Such openings now count as possibly open and are dropped silently, as those whose agent did not reply. The two new tests fail without the change.

--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -141,6 +141,8 @@
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
 		if e.stage == stageHeld {
 			e.startCopies(now, s.Ack)
+		} else {
+			e.mayBeOpen = true // the agent may refuse an earlier copy and deliver this one
 		}
 		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
 		// An agent that does not hold the flow refuses it if the route's service is not its own.
@@ -224,6 +226,7 @@
 		}
 		e.mayBeOpen = e.mayBeOpen || e.stage == stageHeld
 	case stageNew:
+		e.mayBeOpen = true // an earlier process may have offered other copies
 	case stageProbing, stageSearching, stageTrial, stageLost, stageQueued:
 		return
 	}
--- a/internal/core/steering/shedding_test.go
+++ b/internal/core/steering/shedding_test.go
@@ -349,6 +349,47 @@
 	}
 }
 
+// An agent's refusal of an opening crosses the next copy, which the agent admits as a place has
+// become free. The flow is open there, so that it must not be reset, also under overload.
+func TestOpeningWhoseRefusalCrossedACopyIsNotReset(t *testing.T) {
+	b, callers := newObjectiveBalancer("a"), make(map[uint16]time.Time)
+	b.overloadFor(2*time.Second, callers)
+	b.takeOffers()
+	b.report(0, slotStatus(0, 30*time.Millisecond))
+	callers[b.open(feedAddress)] = b.now
+	offers := b.takeOffers()
+	if len(offers) != 1 || offers[0].Segment.Ack != 0 {
+		t.Fatalf("offers are %+v, want one of a first copy", offers)
+	}
+	first := offers[0]
+	b.overloadFor(200*time.Millisecond, callers)
+	copied := false
+	for _, o := range b.takeOffers() {
+		copied = copied || o.Segment.Flow == first.Segment.Flow && o.Segment.Ack == 1 && o.agent == first.agent
+	}
+	if !copied {
+		t.Fatal("the second copy did not go to the agent that got the first")
+	}
+	b.refuse(first, steering.RefusedBusy)
+	b.overloadFor(1300*time.Millisecond, callers)
+	if why, reset := b.resets[first.Segment.Flow.Caller.Port]; reset {
+		t.Errorf("an opening of which the agent got another copy is reset as %q", why)
+	}
+}
+
+// A balancer restarts, and a refusal of an opening that its earlier process offered arrives. That
+// process may have offered another copy elsewhere, so that the flow must not be reset.
+func TestRefusedOpeningOfAnEarlierProcessIsNotReset(t *testing.T) {
+	b, callers := newObjectiveBalancer("a"), make(map[uint16]time.Time)
+	b.overloadFor(2*time.Second, callers)
+	opening := steering.Segment{Flow: steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 900}, Address: feedAddress}, Flags: steering.FlagOpen}
+	b.refuse(offeredOpening{agent: 0, Message: steering.Message{Segment: opening}}, steering.RefusedBusy)
+	b.overloadFor(1300*time.Millisecond, callers)
+	if why, reset := b.resets[900]; reset {
+		t.Errorf("an opening that an earlier process offered is reset as %q", why)
+	}
+}
+
 // An agent gets a queued opening just before the queue timeout and refuses it after that. The
 // opening must not count as waiting for ever, which would be an overload without load.
 func TestOpeningRefusedAfterTheQueueTimeoutLeavesTheBacklog(t *testing.T) {
