Overload: don't undo the end of an overload by a refused offer

An overload ends when nothing was refused for 300 ms, and a suspension of the balancer restarts the time of a backlog. An opening that was on offer, or was offered later, returned to the backlog with the time since which it waited before that, so that the overload began again at once.

A backlog now keeps the time of its restart and counts no wait before it. The new test fails without the change.

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -22,6 +22,8 @@
 	// refusedAt is when the overload began or work was last refused during it.
 	refusedAt time.Time
 	changedAt time.Time
+	// restartedAt is when the time of the backlog last began anew.
+	restartedAt time.Time
 }
 
 // Enter records that an item has begun to wait. It returns the time since which the queue
@@ -29,8 +31,11 @@
 func (b *Backlog) Enter(now time.Time) time.Time { return b.Return(now, now) }
 
 // Return records that an item waits again which could not be served: its wait is not
-// interrupted. Since is the result of Enter.
+// interrupted. Since is the result of Enter. What it waited before a restart does not count.
 func (b *Backlog) Return(now, since time.Time) time.Time {
+	if since.Before(b.restartedAt) {
+		since = b.restartedAt
+	}
 	if b.waiting == 0 || since.Before(b.since) {
 		b.since = since
 	}
@@ -54,7 +59,7 @@
 // Restart forgets how long items have waited. After a suspension of the process that time
 // tells nothing about the capacity.
 func (b *Backlog) Restart(now time.Time) {
-	b.overloaded = false
+	b.overloaded, b.restartedAt = false, now
 	if b.waiting > 0 {
 		b.since = now
 	}
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Items that are on offer when the time of the backlog begins anew may come back refused. The
+// overload must not begin again at once because of their wait before.
+func TestRefusedOfferDoesNotUndoARestart(t *testing.T) {
+	var b overload.Backlog
+	since := b.Enter(at(0))
+	b.Overloaded(at(patience), patience)
+	b.Leave(at(patience))
+	end := patience + 300*time.Millisecond
+	if b.Overloaded(at(end), patience) {
+		t.Fatal("the overload did not end")
+	}
+	b.Return(at(end+time.Millisecond), since)
+	if b.Overloaded(at(end+patience-1), patience) {
+		t.Error("the overload began again within the patience")
+	}
+	if !b.Overloaded(at(end+patience), patience) {
+		t.Error("the overload did not begin again after the patience")
+	}
+}
+
 // A balancer that returns after a suspension waits first.
 func TestRestartForgetsTheWait(t *testing.T) {
 	var b overload.Backlog
