Serve a flow that is opened again after its caller gave up a waiting request

When a caller closes its flow while a request waits, the agent drops later data of the flow, so that the request does not run. If the caller used its port again before the target had closed the flow, the opening passed as a copy of the old one, without admission, and each request of the new flow was dropped for good.

Such an opening now begins a new flow and is admitted or refused as others. The new test fails without the change.

--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -155,7 +155,7 @@
 // handleOpen delivers a segment that opens a flow, or refuses it.
 func (a *Agent) handleOpen(now time.Time, from netip.AddrPort, msg *Message) {
 	s := msg.Segment
-	if local := a.flows.byFlow[s.Flow]; local != nil && !local.closed {
+	if local := a.flows.byFlow[s.Flow]; local != nil && !local.closed && !local.abandoned {
 		// A retransmission, possibly delayed: the target responds to it within its
 		// open flow.
 		local.recordOpeningRepeated(from)
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -76,7 +76,8 @@
 	// arrived, at requestStart.
 	uncontended  bool
 	requestStart time.Time
-	// abandoned reports that the caller gave up a request before it was delivered.
+	// abandoned reports that the caller gave up a request before it was delivered, and closed
+	// the flow: a further opening segment is that of a new flow.
 	abandoned bool
 	// deliveredAt is when the current request was delivered to the target.
 	deliveredAt time.Time
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -317,6 +317,26 @@
 	}
 }
 
+// A caller gives up a request that waits and uses its port again, before the target has closed
+// the flow. The requests of the new flow must run.
+func TestFlowReopenedAfterAnAbandonedRequestIsServed(t *testing.T) {
+	a := newQueueAgent(t)
+	a.fill()
+	a.keep(feedDemand, 10)
+	a.forward(feedDemand, steering.Segment{Flow: queueFlow(10), Flags: steering.FlagClose, Seq: 101})
+	for n := 1; n <= queuePlaces; n++ {
+		a.respond(n)
+	}
+	if refusal := a.offer(10, balancerPeer, feedDemand); refusal != steering.NotRefused {
+		t.Fatalf("the new flow is refused: %v", refusal)
+	}
+	a.requireAhead(0, 0, 1, 1)
+	a.learn(10)
+	if !a.request(10, 0, feedDemand) {
+		t.Error("the request of the new flow is dropped")
+	}
+}
+
 // A request that nobody waits for any more is discarded after the time that stalls are
 // tolerated. A caller that still repeats it must not be locked out.
 func TestStalledRequestIsDiscarded(t *testing.T) {
