--- a/internal/core/requestqueue/requestqueue.go
+++ b/internal/core/requestqueue/requestqueue.go
@@ -133,10 +133,11 @@
 	return key, true
 }
 
-// next returns the position of the request to run next: of the highest priority, and one that can still meet its objective before one that can't. While the
-// requests of the priority that can meet their objective can all be run within half of it, the
-// oldest is next, so that all are answered in time. With a longer queue, and among late
-// requests, the newest is next: in the order of arrival, all would be late.
+// next returns the position of the request to run next: of the highest priority, and one that
+// can still meet its objective before one that can't. While the requests of the priority that
+// can meet their objective can all be run within half of it, the oldest is next, so that all are
+// answered in time. With a longer queue, and among late requests, the newest is next: in the
+// order of arrival, all would be late.
 func (q *Queue[K]) next(now time.Time, c Capacity) int {
 	earliestAnswer := now.Add(c.requestTime())
 	priority := q.entries[0].request.Priority
--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/core/requestqueue"
 )
 
 const (
@@ -86,8 +88,8 @@
 
 // wait estimates how long a request of the priority waits for a slot.
 func (m *member) wait(now time.Time, priority int) time.Duration {
-	concurrency := int(m.status.Concurrency)
-	return time.Duration(max(0, m.ahead(now, priority)-concurrency+1)) * m.requestTime() / time.Duration(concurrency)
+	capacity := requestqueue.Capacity{Concurrency: int(m.status.Concurrency), RequestTime: m.status.RequestTime}
+	return capacity.Wait(m.ahead(now, priority))
 }
 
 // answerTime estimates the time until the target could answer a request of the priority.
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -114,10 +114,9 @@
 	waiting requestqueue.Queue[*localFlow]
 	// discarded is the kept requests that were discarded in the present step.
 	discarded discardedRequests
-	// awaitingRequest counts the busy flows whose first request has not arrived;
-	// recentOpenings lists these and others that were opened recently, oldest first.
-	awaitingRequest int
-	recentOpenings  []recentOpening
+	// recentOpenings lists the flows whose first request is awaited and others that were
+	// opened recently, oldest first.
+	recentOpenings []recentOpening
 	// slots is the number of requests that the target runs at once.
 	slots int
 	// meanRequestTime is the mean duration of requests that found a free slot,
@@ -198,7 +197,7 @@
 	opened := &localFlow{lastSegment: now, nonIdempotent: msg.NonIdempotent, singleRequest: msg.SingleRequest}
 	opened.setOpeningDemand(now, msg.Demand)
 	s.byFlow[f] = opened
-	s.setAwaitingRequest(opened, true)
+	opened.awaitingRequest = true
 	s.setBusy(opened, true)
 	s.recentOpenings = append(s.recentOpenings, recentOpening{opened, now})
 	delete(s.returnedAt, f)
@@ -266,7 +265,7 @@
 
 func (s *flowSection) remove(f Flow) {
 	if local := s.byFlow[f]; local != nil {
-		s.setAwaitingRequest(local, false)
+		local.awaitingRequest = false
 		s.setBusy(local, false)
 		delete(s.byFlow, f)
 	}
@@ -281,7 +280,7 @@
 		if idle > local.ttl() {
 			s.remove(f)
 		} else if idle > stalledRequestTimeout {
-			s.setAwaitingRequest(local, false)
+			local.awaitingRequest = false
 			s.setBusy(local, false)
 		}
 	}
--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -93,7 +93,8 @@
 }
 
 // trialDue reports whether a flow may be opened at the failing target as a trial. A trial whose
-// caller has sent no request, or has given it up, ends without an outcome, or as failed if the target has not responded.
+// caller has sent no request, or has given it up, ends without an outcome, or as failed if the
+// target has not responded.
 func (a *Agent) trialDue(now time.Time) bool {
 	h := &a.health
 	if h.trial != nil && (!h.trial.busy || h.trial.health.callerClosed) {
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -87,8 +87,8 @@
 	// failure domain is pinged as often as a local one.
 	fastPingSince, fastPingUntil time.Time
 	// full is set for a class of flows without an objective when the agent refuses one of
-	// them as busy, and cleared by the next status: the agent sends one to balancers that it has refused
-	// once it has capacity.
+	// them as busy, and cleared by the next status: the agent sends one to balancers that it
+	// has refused once it has capacity.
 	full [numFlowClasses]bool
 	// agentCount is the number of agents in the agent's latest reply to a query, as known
 	// to any balancer that pings it. countQueriedAt is when it was last queried for that.
--- a/internal/core/steering/requests.go
+++ b/internal/core/steering/requests.go
@@ -43,7 +43,7 @@
 	n := 0
 	for n < len(s.recentOpenings) && now.Sub(s.recentOpenings[n].openedAt) > firstRequestTimeout {
 		if f := s.recentOpenings[n].flow; f.awaitingRequest {
-			s.setAwaitingRequest(f, false)
+			f.awaitingRequest = false
 			s.setBusy(f, false)
 		}
 		n++
@@ -53,10 +53,6 @@
 	}
 }
 
-func (s *flowSection) setAwaitingRequest(f *localFlow, awaiting bool) {
-	setCountedFlag(&f.awaitingRequest, awaiting, &s.awaitingRequest)
-}
-
 // setBusy records whether a request of the flow is in flight. If none is, none is running or
 // kept either.
 func (s *flowSection) setBusy(f *localFlow, busy bool) {
@@ -100,7 +96,7 @@
 
 // startRequest records that a request has arrived.
 func (s *flowSection) startRequest(now time.Time, f *localFlow) {
-	s.setAwaitingRequest(f, false)
+	f.awaitingRequest = false
 	s.setBusy(f, true)
 	f.health.counted = false
 	f.requestStart, f.deliveredAt = now, time.Time{}
@@ -128,7 +124,7 @@
 		s.meanRequestTime.add(served)
 		s.classRequestTimes[classFor(f.singleRequest)].add(served)
 	}
-	s.setAwaitingRequest(f, false)
+	f.awaitingRequest = false
 	s.setBusy(f, false)
 	return elapsed, finished
 }
