Queue a flow again whose caller port had waited before

A flow that had waited at a balancer kept the time since which it waited. If its caller used the port again within 70 s and the agent that held the earlier flow refused the opening, the balancer took the opening for queued and never offered it.

The time is cleared when the held flow is opened again. The new test fails without the change.

--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -141,6 +141,7 @@
 		e.stage == stageOpening && retransmitted && e.agent.isLive(now) && !b.isOverdue(now, e):
 		if e.stage == stageHeld {
 			e.startCopies(now, s.Ack)
+			e.queuedAt = time.Time{}
 		} else {
 			e.mayBeOpen = true // the agent may refuse an earlier copy and deliver this one
 		}
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -155,6 +155,29 @@
 	}
 }
 
+// A caller uses a port again whose earlier flow had waited at the balancer, and the agent that
+// held that flow is full. The new flow must wait, and be offered when there is room: it was never
+// offered again.
+func TestReusedPortOfAQueuedFlowIsOffered(t *testing.T) {
+	b := newQueueingBalancer(1)
+	b.open(routeAddress)
+	if got := b.offeredCallers(0, 1); len(got) != 1 {
+		t.Fatalf("offered callers are %v, want the queued one", got)
+	}
+	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: b.port}, Address: routeAddress}
+	b.Step(b.now, &steering.SegmentReceived{Segment: steering.Segment{Flow: flow, Flags: steering.FlagAck, Seq: 1, Ack: 1}})
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.Step(b.now, &steering.Tick{})
+	b.sendStatus(0, 3*slotsPerTarget)
+	b.retransmit(b.port, routeAddress, 0)
+	b.Step(b.now, &steering.MessageReceived{From: b.peers[0], Message: steering.Message{
+		Kind: steering.MessageRefused, Refusal: steering.RefusedBusy, Segment: steering.Segment{Flow: flow, Flags: steering.FlagOpen},
+	}})
+	if got := b.offeredCallers(0, 1); len(got) != 1 || got[0] != b.port {
+		t.Errorf("offered callers are %v, want the one that opened its flow again", got)
+	}
+}
+
 // offeredCallers returns the ports of the callers whose flows the balancer offers when
 // the agent reports free places.
 func (b *queueingBalancer) offeredCallers(agent, places int) []uint16 {
