--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -145,11 +145,14 @@
 		switch {
 		case e.stage == stageHeld:
 			e.startCopies(now, s.Ack)
+			e.queuedAt = time.Time{}
 		case !r.hasObjective() || !e.isUnheard():
+			e.mayBeOpen = true // the agent may refuse an earlier copy and deliver this one
 		case e.agent.suspect:
 			b.moveOpening(now, e, s, r)
 			return
 		default:
+			e.mayBeOpen = true
 			b.awaitReply(now, e, s)
 		}
 		b.report(Report{Text: "Opening segment goes to the cached agent.", Flow: s.Flow, Node: e.agent.record.Node, Route: r.Name, Version: b.Version(), Age: now.Sub(e.sentAt)})
@@ -241,6 +244,7 @@
 		}
 		e.mayBeOpen = e.mayBeOpen || e.stage == stageHeld
 	case stageNew:
+		e.mayBeOpen = true // an earlier process may have offered other copies
 	case stageProbing, stageSearching, stageTrial, stageLost, stageQueued:
 		return
 	}
