Notify balancers of capacity past a demand that would be refused

The agent checked only the first waiting balancer of each priority. If its opening had little of its objective left and needs a free slot, balancers after it whose openings may wait heard of room with a pong of up to half a second later.

The agent now goes on to balancers with a longer objective. The new test fails without the change.

--- a/internal/core/steering/capacity.go
+++ b/internal/core/steering/capacity.go
@@ -44,23 +44,23 @@
 }
 
 // nextWaiter returns the position of the next balancer to notify: of those whose demand would
-// be admitted, the first with the highest priority. It returns -1 if there is none. Only the
-// first of each priority, with and without an objective, is checked, as this runs in each
-// step.
+// be admitted, the first with the highest priority. It returns -1 if there is none. As this
+// runs in each step, no demand is checked after one of the same priority that has an objective
+// as long and would be refused.
 func (a *Agent) nextWaiter(now time.Time) int {
 	waiters := a.capacityWaiters.waiters
 	for priority := range uint8(NumPriorities) {
-		var checked [2]bool
+		refused := [2]time.Duration{-1, -1} // the longest objective, without and with one
 		for i := range waiters {
 			d := waiters[i].demand
 			group := countOf(d.Objective > 0)
-			if d.Priority != priority || checked[group] {
+			if d.Priority != priority || d.Objective <= refused[group] {
 				continue
 			}
 			if a.checkOpening(now, a.target.service, classOther, d, nil) == NotRefused {
 				return i
 			}
-			checked[group] = true
+			refused[group] = d.Objective
 		}
 	}
 	return -1
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -545,6 +545,33 @@
 	}
 }
 
+// An opening that has waited for long was refused first, and is admitted to a free slot only. A
+// balancer with openings of the same priority that may wait must not learn of room later.
+func TestCapacityNoticeSkipsADemandThatWouldBeRefused(t *testing.T) {
+	a := newQueueAgent(t)
+	a.fill()
+	a.keep(feedDemand, 10, 11)
+	late, recent := netip.MustParseAddrPort("10.0.0.3:7000"), netip.MustParseAddrPort("10.0.0.4:7000")
+	for i, from := range []netip.AddrPort{late, recent} {
+		d := steering.Demand{Priority: 2, Objective: []time.Duration{20 * time.Millisecond, 400 * time.Millisecond}[i]}
+		if got := a.offer(100+i, from, d); got != steering.RefusedBusy {
+			t.Fatalf("offer %d: %v", i, got)
+		}
+	}
+	a.advance(3 * time.Millisecond)
+	// Five are left, of an unknown time of 100 ms: wait of 100 ms and 100 ms of work.
+	a.forward(feedDemand, steering.Segment{Flow: queueFlow(10), Flags: steering.FlagClose, Seq: 101})
+	var notified []netip.AddrPort
+	for _, e := range a.effects {
+		if e.Kind == steering.EffectSend && e.Message.Kind == steering.MessagePong {
+			notified = append(notified, e.To)
+		}
+	}
+	if len(notified) != 1 || notified[0] != recent {
+		t.Errorf("notified %v, want the balancer whose opening would be admitted", notified)
+	}
+}
+
 // Routes without an objective are served as before: their balancers are notified in the order
 // of their refusals, whatever the priority.
 func TestCapacityNoticesWithoutObjectiveKeepTheirOrder(t *testing.T) {
