Let a higher priority yield while it has time; place by the total load

Near capacity, requests of a higher priority went first although they had time, and made requests of lower priorities late that could all have been answered. The queue now takes the earliest deadline until less than half of a higher priority's objective would remain, and balancers place openings where they delay the least.

--- a/internal/core/requestqueue/requestqueue.go
+++ b/internal/core/requestqueue/requestqueue.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// numPriorities is the number of priorities that are told apart. Lower ones count as the lowest.
+const numPriorities = 4
+
 // defaultRequestTime is the assumed mean duration of a request until one was measured.
 const defaultRequestTime = 100 * time.Millisecond
 
@@ -112,13 +115,13 @@
 	return keys
 }
 
-// candidates are the waiting requests of one priority that may be next, by their positions.
-type candidates struct {
-	// onTime is the number of requests that can still meet their objective, of which the
-	// shortest is shortestObjective.
-	onTime                  int
-	shortestObjective       time.Duration
-	oldest, newest, newLate int
+// group is the waiting requests of one priority: how many can still meet their objective, the
+// shortest of these objectives, and positions of requests.
+type group struct {
+	onTime, late               int
+	shortestObjective          time.Duration
+	oldest, newest, mostUrgent int
+	oldestLate, newestLate     int
 }
 
 // Take removes the request to run next and returns its key, false if none waits.
@@ -133,45 +136,100 @@
 	return key, true
 }
 
-// next returns the position of the request to run next: of the highest priority, and one that
-// can still meet its objective before one that can't. While the requests of the priority that
-// can meet their objective can all be run within half of it, the oldest is next, so that all are
-// answered in time. With a longer queue, and among late requests, the newest is next: in the
-// order of arrival, all would be late.
+// next returns the position of the request to run next. Under load, capacity goes to the highest
+// priority, and to requests that can still meet their objective before those that can't. A higher
+// priority yields to an earlier deadline of a lower one for as long as it has time: with targets
+// just short of capacity, both are answered in time then.
 func (q *Queue[K]) next(now time.Time, c Capacity) int {
+	groups := q.groups(now, c)
+	best, ahead := -1, 0
+	for p := range groups {
+		g := &groups[p]
+		if ahead += g.onTime; g.onTime > 0 {
+			if i := q.nextOnTime(g, c, ahead); best < 0 || q.entries[i].request.Deadline.Before(q.entries[best].request.Deadline) {
+				best = i
+			}
+		}
+		switch {
+		case best < 0 && g.late > 0:
+			return q.nextLate(g, c)
+		case g.late > 0, g.onTime > 0 && q.isUrgent(now, g, c, ahead):
+			return best
+		}
+	}
+	return best
+}
+
+// groups groups the requests by priority.
+func (q *Queue[K]) groups(now time.Time, c Capacity) (groups [numPriorities]group) {
 	earliestAnswer := now.Add(c.requestTime())
-	priority := q.entries[0].request.Priority
-	var found candidates
-	found.newLate = -1
 	for i := range q.entries {
 		r := &q.entries[i].request
-		if r.Priority > priority {
-			continue
+		g := &groups[min(r.Priority, numPriorities-1)]
+		if earliestAnswer.After(r.Deadline) {
+			q.addLate(g, i)
+		} else {
+			q.addOnTime(g, i)
 		}
-		if r.Priority < priority {
-			priority, found = r.Priority, candidates{newLate: -1}
-		}
-		switch {
-		case earliestAnswer.After(r.Deadline):
-			if found.newLate < 0 || !r.ArrivedAt.Before(q.entries[found.newLate].request.ArrivedAt) {
-				found.newLate = i
-			}
-			continue
-		case found.onTime == 0:
-			found.oldest, found.newest, found.shortestObjective = i, i, r.Objective
-		case r.ArrivedAt.Before(q.entries[found.oldest].request.ArrivedAt):
-			found.oldest = i
-		case !r.ArrivedAt.Before(q.entries[found.newest].request.ArrivedAt):
-			found.newest = i
-		}
-		found.onTime++
-		found.shortestObjective = min(found.shortestObjective, r.Objective)
 	}
-	switch {
-	case found.onTime == 0:
-		return found.newLate
-	case c.timeFor(found.onTime) <= found.shortestObjective/2:
-		return found.oldest
+	return groups
+}
+
+func (q *Queue[K]) addOnTime(g *group, i int) {
+	r := &q.entries[i].request
+	if g.onTime++; g.onTime == 1 {
+		g.oldest, g.newest, g.mostUrgent, g.shortestObjective = i, i, i, r.Objective
+		return
+	}
+	if r.ArrivedAt.Before(q.entries[g.oldest].request.ArrivedAt) {
+		g.oldest = i
 	}
-	return found.newest
+	if !r.ArrivedAt.Before(q.entries[g.newest].request.ArrivedAt) {
+		g.newest = i
+	}
+	if r.Deadline.Before(q.entries[g.mostUrgent].request.Deadline) {
+		g.mostUrgent = i
+	}
+	g.shortestObjective = min(g.shortestObjective, r.Objective)
+}
+
+func (q *Queue[K]) addLate(g *group, i int) {
+	r := &q.entries[i].request
+	if g.late++; g.late == 1 {
+		g.oldestLate, g.newestLate = i, i
+		return
+	}
+	if r.ArrivedAt.Before(q.entries[g.oldestLate].request.ArrivedAt) {
+		g.oldestLate = i
+	}
+	if !r.ArrivedAt.Before(q.entries[g.newestLate].request.ArrivedAt) {
+		g.newestLate = i
+	}
+}
+
+// nextOnTime returns the request of a priority that is next. While those that can meet their
+// objective, and those of higher priorities, can be run within half of it, the oldest is next, so
+// that all are answered in time. With a longer queue it is the newest: in the order of arrival,
+// all would be late.
+func (q *Queue[K]) nextOnTime(g *group, c Capacity, ahead int) int {
+	if c.timeFor(ahead) <= g.shortestObjective/2 {
+		return g.oldest
+	}
+	return g.newest
+}
+
+// nextLate returns the late request of a priority that is next: the oldest while all of them can
+// be run within an objective, so that none waits until its caller gives up, else the newest.
+func (q *Queue[K]) nextLate(g *group, c Capacity) int {
+	if c.timeFor(g.late) <= q.entries[g.oldestLate].request.Objective {
+		return g.oldestLate
+	}
+	return g.newestLate
+}
+
+// isUrgent reports whether less than half of the objective would remain to a request of the
+// priority once all requests that are ahead have run.
+func (q *Queue[K]) isUrgent(now time.Time, g *group, c Capacity, ahead int) bool {
+	r := &q.entries[g.mostUrgent].request
+	return r.Deadline.Sub(now)-c.timeFor(ahead)-c.requestTime() < r.Objective/2
 }
--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -18,6 +18,8 @@
 	// failingOfferInterval is the time between offers to an agent that refuses flows as
 	// failing, which let it test its target.
 	failingOfferInterval = 200 * time.Millisecond
+	// lowestPriority is that of requests that all others go before.
+	lowestPriority = NumPriorities - 1
 	// minTypicalAgents is the number of agents from which a median request time tells a
 	// slow or failing target from the others.
 	minTypicalAgents = 3
@@ -78,7 +80,7 @@
 // execute at once. Equal ones leave the choice to the rank, by which other balancers guess
 // the holder of a flow.
 func (m *member) relativeLoad(now time.Time) float64 {
-	return math.Round(m.estimateAhead(now, NumPriorities-1)) / float64(m.status.Concurrency)
+	return math.Round(m.estimateAhead(now, lowestPriority)) / float64(m.status.Concurrency)
 }
 
 // hasFreeSlot reports whether the target would execute a request of the priority at once.
@@ -97,23 +99,24 @@
 	return m.wait(now, priority) + m.requestTime()
 }
 
-// answersSooner reports whether the agent could answer a request of the priority sooner
-// than another. With no wait at either the load decides: the difference of the request
-// times alone would send everything to the faster target.
-func (m *member) answersSooner(now time.Time, other *member, priority int) bool {
+// answersSooner reports whether the agent could answer a request of the lowest priority sooner
+// than another. A request of a higher priority is placed by the same comparison: it goes first
+// at either target, and should delay the least there. With no wait at either the load decides:
+// the difference of the request times alone would send everything to the faster target.
+func (m *member) answersSooner(now time.Time, other *member) bool {
 	if !m.reportsWait() || !other.reportsWait() {
 		return m.load(now) < other.load(now)
 	}
-	if m.wait(now, priority) == 0 && other.wait(now, priority) == 0 {
+	if m.wait(now, lowestPriority) == 0 && other.wait(now, lowestPriority) == 0 {
 		return m.relativeLoad(now) < other.relativeLoad(now)
 	}
-	mine, others := m.answerTime(now, priority), other.answerTime(now, priority)
+	mine, others := m.answerTime(now, lowestPriority), other.answerTime(now, lowestPriority)
 	return mine < others || mine == others && m.relativeLoad(now) < other.relativeLoad(now)
 }
 
 // soonest returns the candidate that could answer sooner, the higher ranked one if equal.
-func (p *topTwo) soonest(now time.Time, priority int) *member {
-	if p[1] != nil && p[1].answersSooner(now, p[0], priority) {
+func (p *topTwo) soonest(now time.Time) *member {
+	if p[1] != nil && p[1].answersSooner(now, p[0]) {
 		return p[1]
 	}
 	return p[0]
@@ -154,17 +157,17 @@
 	return t
 }
 
-// waitTier returns tierOpen for an agent with a free slot, tierWait for one that could
-// still answer well within the remaining objective, else tierNone.
+// waitTier returns tierOpen for an agent with a free slot, tierWait for one at which the flow
+// would delay others but could be answered well within its remaining objective, else tierNone.
 func (m *member) waitTier(now time.Time, class queueClass, priority int, remaining time.Duration) tier {
 	switch {
 	case !m.reportsWait():
 		if m.load(now) < m.maxLoad(class.flowClass()) {
 			return tierOpen
 		}
-	case m.hasFreeSlot(now, priority):
+	case m.hasFreeSlot(now, lowestPriority):
 		return tierOpen
-	case float64(m.answerTime(now, priority)) <= waitShare*float64(remaining):
+	case m.hasFreeSlot(now, priority), float64(m.answerTime(now, priority)) <= waitShare*float64(remaining):
 		return tierWait
 	}
 	return tierNone
@@ -222,13 +225,13 @@
 // preferLocalByTime picks the local candidate unless it has no free slot, or needs more
 // than half of the objective, and a remote one could answer clearly sooner.
 func preferLocalByTime(now time.Time, local, remote *[tierNone]topTwo, priority int, objective time.Duration) *member {
-	bestLocal, bestRemote := local[tierOpen].soonest(now, priority), remote[tierOpen].soonest(now, priority)
+	bestLocal, bestRemote := local[tierOpen].soonest(now), remote[tierOpen].soonest(now)
 	free := bestLocal != nil
 	if bestLocal == nil {
-		bestLocal = local[tierWait].soonest(now, priority)
+		bestLocal = local[tierWait].soonest(now)
 	}
 	if bestRemote == nil {
-		bestRemote = remote[tierWait].soonest(now, priority)
+		bestRemote = remote[tierWait].soonest(now)
 	}
 	switch {
 	case bestLocal == nil:
@@ -280,7 +283,7 @@
 	if !m.reportsWait() || !b.config.hasObjective(m.service) {
 		return true
 	}
-	return !m.suspect && !m.isFailing() && m.hasFreeSlot(now, NumPriorities-1)
+	return !m.suspect && !m.isFailing() && m.hasFreeSlot(now, lowestPriority)
 }
 
 // medianRequestTime is the median request time of a service's agents at a time.
