--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -227,6 +227,8 @@
 		return RefusedFailing
 	case a.isBusy(class, demand):
 		return RefusedBusy
+	case a.isLoaded(demand, offer):
+		return RefusedLoaded
 	case a.flows.isSilent(now):
 		return RefusedSilent
 	case t.isCold(now) && !a.coldStart.allows(now, a.limits.ColdOpensPerSecond):
--- a/internal/core/steering/agent_admission.go
+++ b/internal/core/steering/agent_admission.go
@@ -13,13 +13,21 @@
 }
 
 // isBusy reports whether the target has too many requests in flight for a new flow. With an
-// objective, the flow is admitted if its first request is expected to meet it, otherwise by
-// the number of requests in flight.
+// objective, the flow's first request has to be expected within half of what remains, and the
+// limit does not apply if it can go before waiting requests of lower priorities.
 func (a *Agent) isBusy(class flowClass, demand Demand) bool {
 	if demand.Objective <= 0 {
 		return a.flows.busy >= a.target.slots*a.requestLimitPerSlot(class)
 	}
-	return !a.capacity().Admits(a.flows.ahead(demand.Priority), demand.Objective)
+	ahead := a.flows.ahead(demand.Priority)
+	return !a.capacity().Admits(ahead, demand.Objective) || a.flows.busy >= a.target.slots*maxRequestsPerSlot && ahead >= a.flows.busy
+}
+
+// isLoaded reports whether an offered flow would delay requests of lower priorities beyond the
+// usual limit. Its balancer looks for a less loaded agent first: otherwise some targets get
+// queues while others have room.
+func (a *Agent) isLoaded(demand Demand, offer *Message) bool {
+	return offer != nil && demand.Objective > 0 && !offer.MayDelay && a.flows.busy >= a.target.slots*maxRequestsPerSlot
 }
 
 // capacity returns what the target can run.
--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -18,6 +18,9 @@
 	// failingOfferInterval is the time between offers to an agent that refuses flows as
 	// failing, which let it test its target.
 	failingOfferInterval = 200 * time.Millisecond
+	// maxLoadedRefusals is the number of agents that may refuse an opening because it would
+	// delay requests of lower priorities, before it is offered regardless of them.
+	maxLoadedRefusals = 2
 	// lowestPriority is that of requests that all others go before.
 	lowestPriority = NumPriorities - 1
 	// minTypicalAgents is the number of agents from which a median request time tells a
@@ -157,18 +160,29 @@
 	return t
 }
 
-// waitTier returns tierOpen for an agent with a free slot, tierWait for one at which the flow
-// would delay others but could be answered well within its remaining objective, else tierNone.
+// waitTier returns tierOpen for an agent with a free slot, tierWait for one below the usual load,
+// tierDelay for one at which the flow would go before requests of lower priorities, else
+// tierNone. In each case the flow has to be answered well within its remaining objective.
 func (m *member) waitTier(now time.Time, class queueClass, priority int, remaining time.Duration) tier {
-	switch {
-	case !m.reportsWait():
+	if !m.reportsWait() {
 		if m.load(now) < m.maxLoad(class.flowClass()) {
 			return tierOpen
 		}
+		return tierNone
+	}
+	inTime := m.hasFreeSlot(now, priority) || float64(m.answerTime(now, priority)) <= waitShare*float64(remaining)
+	inFlight := m.ahead(now, lowestPriority)
+	switch {
+	case !inTime:
+		return tierNone
+	case m.loaded:
+		return tierDelay
 	case m.hasFreeSlot(now, lowestPriority):
 		return tierOpen
-	case m.hasFreeSlot(now, priority), float64(m.answerTime(now, priority)) <= waitShare*float64(remaining):
+	case inFlight < maxRequestsPerSlot*m.slots():
 		return tierWait
+	case m.ahead(now, priority) < inFlight:
+		return tierDelay
 	}
 	return tierNone
 }
@@ -213,6 +227,7 @@
 	}
 	priority := r.priority()
 	if m := preferLocalByTime(now, &local, &remote, priority, r.Demand.Objective); m != nil {
+		e.mayDelay = e.loadedRefusals >= maxLoadedRefusals || m.waitTier(now, class, priority, remaining) == tierDelay
 		return m, false
 	}
 	if m := preferLocal(now, &local[tierCold], &remote[tierCold]); m != nil || healthy {
@@ -225,14 +240,7 @@
 // preferLocalByTime picks the local candidate unless it has no free slot, or needs more
 // than half of the objective, and a remote one could answer clearly sooner.
 func preferLocalByTime(now time.Time, local, remote *[tierNone]topTwo, priority int, objective time.Duration) *member {
-	bestLocal, bestRemote := local[tierOpen].soonest(now), remote[tierOpen].soonest(now)
-	free := bestLocal != nil
-	if bestLocal == nil {
-		bestLocal = local[tierWait].soonest(now)
-	}
-	if bestRemote == nil {
-		bestRemote = remote[tierWait].soonest(now)
-	}
+	bestLocal, bestRemote := soonestOfBestTier(now, local), soonestOfBestTier(now, remote)
 	switch {
 	case bestLocal == nil:
 		return bestRemote
@@ -241,6 +249,7 @@
 	case !bestLocal.reportsWait() || !bestRemote.reportsWait():
 		return lessLoaded(now, bestLocal, bestRemote)
 	}
+	free := local[tierOpen][0] != nil
 	ownTime := float64(bestLocal.answerTime(now, priority))
 	if free && ownTime <= waitShare*float64(objective) || float64(bestRemote.answerTime(now, priority)) > spillRatio*ownTime {
 		return bestLocal
@@ -248,6 +257,17 @@
 	return bestRemote
 }
 
+// soonestOfBestTier returns the soonest candidate of the first group that has one, of those with
+// a warm target.
+func soonestOfBestTier(now time.Time, groups *[tierNone]topTwo) *member {
+	for t := tierOpen; t <= tierDelay; t++ {
+		if m := groups[t].soonest(now); m != nil {
+			return m
+		}
+	}
+	return nil
+}
+
 // recordRefusal records why an agent refused a flow until its next status or the end of a
 // backoff.
 func (b *Balancer) recordRefusal(now time.Time, m *member, msg *Message) {
@@ -256,6 +276,8 @@
 	switch {
 	case msg.Refusal == RefusedFailing:
 		m.failing = true
+	case msg.Refusal == RefusedLoaded:
+		m.loaded = true
 	case msg.Refusal != RefusedBusy:
 		m.avoidUntil = now.Add(refusalBackoff)
 	case !r.hasObjective():
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -72,9 +72,10 @@
 	// awaitingRequest is set from the opening of the flow until its first request
 	// arrives or firstRequestTimeout has passed.
 	awaitingRequest bool
-	// uncontended reports that the target had a free slot when the current request
-	// arrived, at requestStart.
-	uncontended  bool
+	// slotShare is the share of a slot that the current request had at requestStart: 1 if a
+	// slot was free, less if the target had more requests than slots. It is 0 if the time of
+	// the request is not measured.
+	slotShare    float64
 	requestStart time.Time
 	// abandoned reports that the caller gave up a request before it was delivered, and closed
 	// the flow: a further opening segment is that of a new flow.
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/overload"
@@ -64,6 +65,10 @@
 	// lastResort is set when the flow was offered to an agent that refuses flows as
 	// failing.
 	lastResort bool
+	// mayDelay is set when the flow is offered regardless of requests of lower priorities that
+	// wait. loadedRefusals counts the agents that refused it as loaded before.
+	mayDelay       bool
+	loadedRefusals int
 	// movedFrom is the first agent that did not reply to the opening, which then went to
 	// another one; nil if there is none. It may hold the flow.
 	movedFrom *member
@@ -90,6 +95,12 @@
 	}
 }
 
+// withdrawOffer makes an agent a candidate again.
+func (e *flowEntry) withdrawOffer(m *member) {
+	offered := slices.DeleteFunc(e.offered[:e.numOffered], func(o *member) bool { return o == m })
+	e.numOffered = len(offered)
+}
+
 // setStage enters a stage with an agent, nil if none.
 func (e *flowEntry) setStage(s stage, m *member, now time.Time) {
 	if s != stageQueued {
@@ -191,7 +202,7 @@
 	}
 	b.send(e.agent, Message{
 		Kind: MessageOpen, Service: service, NonIdempotent: r.NonIdempotent, SingleRequest: r.SingleRequest, Demand: demand,
-		LastResort: e.lastResort, Segment: s,
+		LastResort: e.lastResort, MayDelay: e.mayDelay, Segment: s,
 	})
 }
 
@@ -253,7 +264,12 @@
 		b.resetFlow(s, "no route")
 		return
 	}
-	e.recordOffer(m)
+	if msg.Refusal == RefusedLoaded {
+		e.loadedRefusals++
+		e.withdrawOffer(m) // the agent may take it regardless of its load
+	} else {
+		e.recordOffer(m)
+	}
 	b.offerNext(now, e, s, r)
 }
 
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -78,6 +78,8 @@
 	// refusedObjective is, for each priority, the largest remaining objective of a flow
 	// that the agent refused as busy since its last status.
 	refusedObjective [NumPriorities]time.Duration
+	// loaded is set when the agent refused a flow as loaded, until its next status.
+	loaded bool
 	// failing is set when the agent refuses a flow as failing, and cleared by the next
 	// status. offeredFailingAt is when it was last offered a flow despite of that to let it
 	// test its target.
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -77,13 +77,14 @@
 	RefusedSilent                      // the target has not responded recently
 	RefusedBusy                        // the target's queue is full
 	RefusedFailing                     // the target fails its requests
+	RefusedLoaded                      // the flow would delay requests of lower priorities; see Message.MayDelay
 )
 
 // String returns the refusal's name for log lines.
 func (r Refusal) String() string {
 	return [...]string{
-		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent", "busy", "failing",
-	}[min(r, RefusedFailing)]
+		"none", "no target", "draining", "domain out", "cold", "other service", "full", "silent", "busy", "failing", "loaded",
+	}[min(r, RefusedLoaded)]
 }
 
 // ServiceID identifies a service in messages. It is a hash of the service's name.
@@ -159,7 +160,10 @@
 	Demand Demand
 	// LastResort reports that no healthy agent could take the opened flow.
 	LastResort bool
-	Flow       Flow
+	// MayDelay reports that the opened flow may go before requests of lower priorities that
+	// wait for the target, as the balancer knows no agent with less load.
+	MayDelay bool
+	Flow     Flow
 	// Ack is the caller's acknowledgement number in a query, 0 if the segment has none.
 	Ack uint32
 	// MemberRevision is, in a reply, the revision of the newest list of agents that any
--- a/internal/core/steering/placement.go
+++ b/internal/core/steering/placement.go
@@ -23,7 +23,7 @@
 // setLoad records the reported load of the agent's target.
 func (m *member) setLoad(now time.Time, inFlight int) {
 	m.inFlight, m.openedSince, m.reportedAt, m.full = inFlight, 0, now, [numFlowClasses]bool{}
-	m.refusedObjective, m.failing = [NumPriorities]time.Duration{}, false
+	m.refusedObjective, m.failing, m.loaded = [NumPriorities]time.Duration{}, false, false
 	for p, n := range m.status.Ahead {
 		m.estimatedAhead[p] = float64(n)
 	}
@@ -58,14 +58,16 @@
 	return max(0, float64(m.inFlight+m.openedSince)-finished) / float64(m.slots())
 }
 
-// tier orders candidates: agents that open flows, then, for flows with an objective,
-// agents that would have the flow wait, then agents with a cold target, then agents that
-// refuse flows as failing. Agents in tierNone are not candidates.
+// tier orders candidates: agents that open flows, then, for flows with an objective, agents
+// below the usual load, then agents at which the flow would delay requests of lower priorities,
+// then agents with a cold target, then agents that refuse flows as failing. Agents in tierNone
+// are not candidates.
 type tier int
 
 const (
 	tierOpen tier = iota
 	tierWait
+	tierDelay
 	tierCold
 	tierFailing
 	tierNone
--- a/internal/core/steering/requests.go
+++ b/internal/core/steering/requests.go
@@ -105,7 +105,16 @@
 // startRunning records that a request is delivered to the target.
 func (s *flowSection) startRunning(now time.Time, f *localFlow) {
 	s.setRunning(f, true)
-	f.deliveredAt, f.uncontended = now, s.runningTotal <= s.slots
+	f.deliveredAt, f.slotShare = now, 1
+	if s.runningTotal <= s.slots {
+		return
+	}
+	// Requests without an objective are not kept, so that the target's queue is of unknown
+	// length and order.
+	f.slotShare = 0
+	if f.objective > 0 {
+		f.slotShare = float64(s.slots) / float64(s.runningTotal)
+	}
 }
 
 // finishRequest records that the target has begun to respond. If a request was running
@@ -119,8 +128,8 @@
 	if finished {
 		elapsed = now.Sub(f.requestStart)
 	}
-	if finished && f.uncontended && !f.health.implausible {
-		served := now.Sub(f.deliveredAt)
+	if finished && f.slotShare > 0 && !f.health.implausible {
+		served := time.Duration(float64(now.Sub(f.deliveredAt)) * f.slotShare)
 		s.meanRequestTime.add(served)
 		s.classRequestTimes[classFor(f.singleRequest)].add(served)
 	}
--- a/internal/core/steering/schedule.go
+++ b/internal/core/steering/schedule.go
@@ -175,20 +175,43 @@
 	return nil
 }
 
-// releaseRequests delivers kept requests while the target has places for them.
+// outlierRatio is the request time of a target, relative to the typical one of its service, from
+// which other targets are clearly faster.
+const outlierRatio = 3
+
+// isOutlier reports whether the target is far slower than others of its service.
+func (a *Agent) isOutlier(now time.Time) bool {
+	typical := a.typicalRequestTime(now)
+	return typical > 0 && time.Duration(a.flows.meanRequestTime) >= outlierRatio*typical
+}
+
+// releaseRequests delivers kept requests while the target has places for them. An outlier gets
+// late ones at once: only the target can refuse a request of an open flow, and its caller can
+// then try another target, which has not the same backlog.
 func (a *Agent) releaseRequests(now time.Time) {
 	s := &a.flows
 	for s.waiting.Len() > 0 && (a.deliversAtOnce() || s.runningTotal < a.places()) {
 		f, _ := s.waiting.Take(now, a.capacity())
-		kept := f.kept
-		f.kept = nil
-		s.slots = a.target.slots
-		s.startRunning(now, f)
-		a.Counters.RequestsReleased.Add(1)
-		a.emit(Effect{Kind: EffectObserve, Latency: LatencyKept, Elapsed: now.Sub(kept.since)})
-		for _, k := range kept.segments {
-			a.deliver(k.from, k.segment)
-		}
+		a.releaseRequest(now, f)
+	}
+	if s.waiting.Len() == 0 || !a.isOutlier(now) {
+		return
+	}
+	for f, ok := s.waiting.TakeLate(now, a.capacity()); ok; f, ok = s.waiting.TakeLate(now, a.capacity()) {
+		a.releaseRequest(now, f)
+	}
+}
+
+// releaseRequest delivers the kept request of a flow, which no longer waits.
+func (a *Agent) releaseRequest(now time.Time, f *localFlow) {
+	kept := f.kept
+	f.kept = nil
+	a.flows.slots = a.target.slots
+	a.flows.startRunning(now, f)
+	a.Counters.RequestsReleased.Add(1)
+	a.emit(Effect{Kind: EffectObserve, Latency: LatencyKept, Elapsed: now.Sub(kept.since)})
+	for _, k := range kept.segments {
+		a.deliver(k.from, k.segment)
 	}
 }
 
--- a/internal/steerwire/demand.go
+++ b/internal/steerwire/demand.go
@@ -7,9 +7,10 @@
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 )
 
-// The first byte of a demand holds the priority and this bit.
+// The first byte of a demand holds the priority and these bits.
 const (
 	priorityMask   = 0x0f
+	openMayDelay   = 0x40
 	openLastResort = 0x80
 )
 
@@ -42,7 +43,7 @@
 }
 
 func encodeDemand(m *steering.Message) (byte, byte) {
-	first := min(m.Demand.Priority, steering.NumPriorities-1) | boolByte(m.LastResort)*openLastResort
+	first := min(m.Demand.Priority, steering.NumPriorities-1) | boolByte(m.LastResort)*openLastResort | boolByte(m.MayDelay)*openMayDelay
 	second := boolByte(m.NonIdempotent)*openNonIdempotent | boolByte(m.SingleRequest)*openSingleRequest
 	return first, second | encodeObjective(m.Demand.Objective)<<objectiveShift
 }
@@ -52,7 +53,7 @@
 		Priority:  min(first&priorityMask, steering.NumPriorities-1),
 		Objective: decodeObjective(second >> objectiveShift),
 	}
-	m.LastResort = first&openLastResort != 0
+	m.LastResort, m.MayDelay = first&openLastResort != 0, first&openMayDelay != 0
 	m.NonIdempotent, m.SingleRequest = second&openNonIdempotent != 0, second&openSingleRequest != 0
 }
 
