Don't take a repeated response for that of the next request

A target that sends an earlier response again while the next request of the flow runs freed a place that was taken. Responses count only with data beyond what the target has sent; the test fails without it. The stand-ins of the tests advance their numbers, as targets do.

--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -101,6 +101,16 @@
 	return distance > -ackWindow && distance < ackWindow
 }
 
+// repeatsResponse reports whether a segment has no data beyond what the target has sent. A
+// target that repeats an earlier response has not responded to the current request.
+func (f *localFlow) repeatsResponse(seg *Segment) bool {
+	if !f.responded || seg.Flags.Has(FlagOpen) {
+		return false
+	}
+	distance := int32(seg.Seq + uint32(seg.Len) - f.nextSeq)
+	return distance <= 0 && distance > -ackWindow
+}
+
 // flowSection holds the flows that the agent has seen at its target.
 type flowSection struct {
 	byFlow map[Flow]*localFlow
@@ -244,10 +254,13 @@
 		delete(s.returnedAt, seg.Flow)
 	}
 	f.lastSegment, f.lastResponse = now, now
+	repeated := f.repeatsResponse(seg)
 	f.responded = true
-	f.nextSeq = seg.Seq + uint32(seg.Len)
+	if !repeated {
+		f.nextSeq = seg.Seq + uint32(seg.Len)
+	}
 	f.established = f.established || !seg.Flags.Has(FlagOpen)
-	if seg.Len > 0 {
+	if seg.Len > 0 && !repeated {
 		elapsed, finished = s.finishRequest(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
--- a/internal/core/steering/health_test.go
+++ b/internal/core/steering/health_test.go
@@ -20,8 +20,8 @@
 	t       *testing.T
 	demand  steering.Demand
 	effects []steering.Effect
-	// seq is the sequence number of the last request.
-	seq uint32
+	// seq and answerSeq are the sequence numbers of the last request and the last answer.
+	seq, answerSeq uint32
 }
 
 func newWatchedAgent(t *testing.T) *watchedAgent {
@@ -85,7 +85,8 @@
 
 func (a *watchedAgent) answer(f steering.Flow, after time.Duration) {
 	a.now = a.now.Add(after)
-	a.fromTarget(steering.Segment{Flow: f, Flags: steering.FlagAck, Len: 100})
+	a.answerSeq += 100
+	a.fromTarget(steering.Segment{Flow: f, Flags: steering.FlagAck, Seq: a.answerSeq, Len: 100})
 }
 
 func (a *watchedAgent) reset(f steering.Flow) {
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -25,6 +25,8 @@
 	t testing.TB
 	*steering.Agent
 	now time.Time
+	// seqs is, for each flow, the sequence number of the target's last response.
+	seqs map[int]uint32
 	// delivered lists the segments with data that were delivered in the last step, origins
 	// the balancers that sent these.
 	delivered []steering.Segment
@@ -34,7 +36,7 @@
 
 func newQueueAgent(t testing.TB) *queueAgent {
 	t.Helper()
-	a := &queueAgent{t: t, now: time.Unix(1000, 0), Agent: steering.NewAgent(steering.AgentIdentity{
+	a := &queueAgent{t: t, now: time.Unix(1000, 0), seqs: make(map[int]uint32), Agent: steering.NewAgent(steering.AgentIdentity{
 		Identity: steering.Identity{Node: "a", Domain: "d"}, Service: "s", HeartbeatInterval: time.Minute,
 	})}
 	a.step(&steering.PreviousRecord{})
@@ -110,7 +112,13 @@
 
 // respond makes the target respond to a flow's request.
 func (a *queueAgent) respond(n int) {
-	a.step(&steering.SegmentReceived{Segment: steering.Segment{Flow: queueFlow(n), Flags: steering.FlagAck, Seq: 1, Len: 1}})
+	a.seqs[n]++
+	a.repeatResponse(n)
+}
+
+// repeatResponse makes the target send its last response on a flow.
+func (a *queueAgent) repeatResponse(n int) {
+	a.step(&steering.SegmentReceived{Segment: steering.Segment{Flow: queueFlow(n), Flags: steering.FlagAck, Seq: a.seqs[n], Len: 1}})
 }
 
 // fill occupies all places of the target with requests on flows 1 to queuePlaces.
@@ -912,3 +920,24 @@
 		t.Errorf("the request time is %v, want %v", got, want)
 	}
 }
+
+// A target sends an earlier response again while the next request of the flow runs. That must not
+// free a place: the target would get more requests than it has places for (soak, seed 9590).
+func TestRepeatedResponseDoesNotFinishTheNextRequest(t *testing.T) {
+	a := newQueueAgent(t)
+	a.learn(1)
+	a.request(1, 0, feedDemand)
+	a.respond(1)
+	a.request(1, 1, feedDemand)
+	for n := 2; n <= queuePlaces; n++ {
+		a.learn(n)
+		a.request(n, 0, feedDemand)
+	}
+	a.repeatResponse(1)
+	a.learn(10)
+	if a.request(10, 0, feedDemand) {
+		t.Errorf("a request was delivered while %d run", queuePlaces)
+	}
+	a.respond(1)
+	a.requireDelivered(10)
+}
