Soak overload control: declared demand, crowds and failing targets

The soak ran routes without priority, objective or timeout and targets without a limit on concurrent requests, so it never reached the request queue, load shedding, target health or slow start.

Feeds on long flows and posts with a flow each share the service. Beside each fault there is one of overload: a crowd of four times the usual callers, or one or two targets that reset requests or openings, are slow, answer errors at once or have one slot. New checks: a post runs at most once and a refused one has not run, a target gets no more requests at once than its slots and a third, a request ends in time, and posts are not starved in a crowd. Each is tested by a promise broken on purpose.

--- a/standin/soak/fabric.go
+++ b/standin/soak/fabric.go
@@ -26,6 +26,8 @@
 	mu     sync.Mutex
 	misses map[*host]int
 	loss   relay.DatagramFault
+	// dropped is an address to which nothing is sent.
+	dropped steering.Endpoint
 }
 
 func newFabric(hosts []*host) (*fabric, error) {
@@ -65,6 +67,9 @@
 func (f *fabric) send(flow steering.Flow, raw []byte) {
 	f.mu.Lock()
 	loss := f.loss
+	if f.dropped == flow.Address {
+		loss.CutTo = true
+	}
 	var in []*host
 	for _, h := range f.hosts {
 		if f.misses[h] < probeMisses {
@@ -81,6 +86,13 @@
 	}
 }
 
+// drop loses everything that callers send to an address from now on.
+func (f *fabric) drop(to steering.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped = to
+}
+
 // set lets things go wrong with what callers send.
 func (f *fabric) set(l relay.DatagramFault) {
 	f.mu.Lock()
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -96,6 +96,13 @@
 	return nil
 }
 
+// steadySince returns since when the process has run undisturbed, and whether it does.
+func (h *host) steadySince() (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.disturbed, !h.expected
+}
+
 // signal sends a signal to the process that this host started.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -43,7 +43,9 @@
 const (
 	// All is all faults.
 	All Breadth = iota
-	// Linked leaves out drills of the store.
+	// Undeclared leaves out overload, targets' health and declared demand.
+	Undeclared
+	// Linked also leaves out drills and outages of the store.
 	Linked
 	// Wide also leaves out faults of datagrams and clocks.
 	Wide
@@ -75,6 +77,11 @@
 	links     *rand.Rand // the same for those of datagrams and clocks
 	drills    *rand.Rand // the same for drills of the store
 	outages   *rand.Rand // the same for outages of the store around restarts
+	overloads *rand.Rand // the same for overload and targets' health
+	workload  workload
+	posts     postLog
+	// crowded is set while there is a crowd.
+	crowded   atomic.Bool
 	began     time.Time
 	store     *platformtest.Store
 	balancers []*host
@@ -93,7 +100,7 @@
 
 // Result counts what callers saw.
 type Result struct {
-	Opened, FailedOpens, Answered, Hung, Resets int
+	Opened, FailedOpens, Answered, Hung, Resets, Errors, Posts, FailedPosts int
 }
 
 // Run runs a deployment under faults and returns what callers saw, with an error
@@ -101,7 +108,10 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		wide: rand.New(rand.NewPCG(o.Seed, 2)), links: rand.New(rand.NewPCG(o.Seed, 3)),
-		drills: rand.New(rand.NewPCG(o.Seed, 4)), outages: rand.New(rand.NewPCG(o.Seed, 5)), began: time.Now(), store: platformtest.NewStore()}
+		drills: rand.New(rand.NewPCG(o.Seed, 4)), outages: rand.New(rand.NewPCG(o.Seed, 5)),
+		overloads: rand.New(rand.NewPCG(o.Seed, 6)), began: time.Now(), store: platformtest.NewStore()}
+	r.workload = drawWorkload(r.overloads, &o)
+	r.note("workload %+v", r.workload)
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -112,6 +122,9 @@
 		r.sabotage(o.Sabotage)
 	}
 	for end := time.Now().Add(o.For); ctx.Err() == nil && time.Now().Before(end); {
+		if o.Breadth == All {
+			r.overloadFault() // first, so that the others overlap with it
+		}
 		r.fault()
 		if o.Breadth != Narrow && r.wide.IntN(wideEvery) == 0 {
 			r.wideFault()
@@ -119,10 +132,10 @@
 		if o.Breadth <= Linked && r.links.IntN(linkEvery) == 0 {
 			r.linkFault()
 		}
-		if o.Breadth == All && r.drills.IntN(drillEvery) == 0 {
+		if o.Breadth <= Undeclared && r.drills.IntN(drillEvery) == 0 {
 			r.drill()
 		}
-		if o.Breadth == All && r.outages.IntN(outageEvery) == 0 {
+		if o.Breadth <= Undeclared && r.outages.IntN(outageEvery) == 0 {
 			r.outage()
 		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
@@ -142,6 +155,8 @@
 		r.violate("after the last fault no request was answered")
 	}
 	r.checkHosts()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return after, errors.Join(r.violations...)
 }
 
@@ -180,7 +195,7 @@
 	if err := r.store.Serve(storeAddr); err != nil {
 		return err
 	}
-	r.store.Configure(1, serviceName)
+	r.configure(1)
 	var err error
 	if r.fabric, err = newFabric(r.balancers); err != nil {
 		return err
@@ -195,7 +210,7 @@
 		if err := h.start(); err != nil {
 			return err
 		}
-		if h.target, err = startTarget(h); err != nil {
+		if h.target, err = startTarget(r, h); err != nil {
 			return err
 		}
 	}
@@ -238,7 +253,7 @@
 		time.AfterFunc(pause, func() { r.store.SetFaults(platformtest.Faults{}) })
 	case 8:
 		r.note("store forgets its history after a change")
-		r.store.Configure(2+int(time.Since(r.began).Milliseconds()), serviceName)
+		r.configure(2 + int(time.Since(r.began).Milliseconds()))
 		r.store.Compact()
 	case 9:
 		r.note("settings of %s are read again", b.name)
@@ -282,7 +297,7 @@
 
 // restartTarget starts a target in place of one that has ended.
 func (r *run) restartTarget(a *agentHost) {
-	next, err := startTarget(a)
+	next, err := startTarget(r, a)
 	if err != nil {
 		r.violate("the target of %s does not start: %v", a.name, err)
 		return
@@ -350,7 +365,8 @@
 func (c *callers) result() Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Result{Opened: c.opened, FailedOpens: c.failedOpens, Answered: c.answered, Hung: c.hung, Resets: c.resets}
+	return Result{Opened: c.opened, FailedOpens: c.failedOpens, Answered: c.answered, Hung: c.hung, Resets: c.resets,
+		Errors: c.errors, Posts: c.posts, FailedPosts: c.failedPosts}
 }
 
 // end ends everything that the run started.
--- a/standin/soak/sabotage.go
+++ b/standin/soak/sabotage.go
@@ -30,6 +30,16 @@
 	SabotageLinks Sabotage = "links"
 	// SabotageService ends all targets for good.
 	SabotageService Sabotage = "service"
+	// SabotageTwice runs a post a second time.
+	SabotageTwice Sabotage = "twice"
+	// SabotageNotRun refuses a post that runs.
+	SabotageNotRun Sabotage = "not-run"
+	// SabotageLimit sends a target more requests at once than it has places for.
+	SabotageLimit Sabotage = "limit"
+	// SabotageLate has callers wait for longer than their timeouts.
+	SabotageLate Sabotage = "late"
+	// SabotageStarve loses the posts of a crowd.
+	SabotageStarve Sabotage = "starve"
 )
 
 // sabotage breaks a promise once.
@@ -58,6 +68,8 @@
 		for _, each := range r.agents {
 			each.target.end()
 		}
+	default:
+		r.sabotageOverload(what)
 	}
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -56,6 +56,11 @@
 			soak.SabotageExit:    "ended by itself",
 			soak.SabotageLinks:   "flows did not open",
 			soak.SabotageService: "flows did not open",
+			soak.SabotageTwice:   "was run 2 times",
+			soak.SabotageNotRun:  "was refused as not run, but a target ran it",
+			soak.SabotageLimit:   "requests at once, more than",
+			soak.SabotageLate:    "later than its timeout",
+			soak.SabotageStarve:  "posts starved in a crowd",
 		} {
 			seed++
 			hosts := seed // a network of its own
