--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -101,14 +101,23 @@
 	return distance > -ackWindow && distance < ackWindow
 }
 
-// repeatsResponse reports whether a segment has no data beyond what the target has sent. A
-// target that repeats an earlier response has not responded to the current request.
-func (f *localFlow) repeatsResponse(seg *Segment) bool {
-	if !f.responded || seg.Flags.Has(FlagOpen) {
-		return false
+// recordSequence records the position of a segment in what the target sends, and reports whether
+// it shows data beyond what was seen. A target that repeats an earlier response has not responded
+// to the current request. Segments may overtake each other: one without data that follows a gap,
+// such as a close, shows the data in the gap.
+func (f *localFlow) recordSequence(seg *Segment) (progress bool) {
+	next := seg.Seq + uint32(seg.Len)
+	switch distance := int32(next - f.nextSeq); {
+	case seg.Flags.Has(FlagOpen):
+		f.nextSeq = next + 1 // the opening takes a sequence number
+	case seg.Flags.Has(FlagReset):
+	case !f.responded, distance <= -ackWindow:
+		f.nextSeq, progress = next, seg.Len > 0
+	case distance > 0:
+		f.nextSeq, progress = next, true
 	}
-	distance := int32(seg.Seq + uint32(seg.Len) - f.nextSeq)
-	return distance <= 0 && distance > -ackWindow
+	f.responded = true
+	return progress
 }
 
 // flowSection holds the flows that the agent has seen at its target.
@@ -254,13 +263,9 @@
 		delete(s.returnedAt, seg.Flow)
 	}
 	f.lastSegment, f.lastResponse = now, now
-	repeated := f.repeatsResponse(seg)
-	f.responded = true
-	if !repeated {
-		f.nextSeq = seg.Seq + uint32(seg.Len)
-	}
+	progress := f.recordSequence(seg)
 	f.established = f.established || !seg.Flags.Has(FlagOpen)
-	if seg.Len > 0 && !repeated {
+	if progress {
 		elapsed, finished = s.finishRequest(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -941,3 +941,28 @@
 	a.respond(1)
 	a.requireDelivered(10)
 }
+
+// A target closes each flow after its response, and the close overtakes the response. The request
+// must count as answered: its time was not measured before, so that slow posts were unknown to
+// balancers (cosecha-hq-grown: no post was measured).
+func TestCloseThatOvertakesTheResponseFinishesTheRequest(t *testing.T) {
+	a := newQueueAgent(t)
+	if got := a.offer(1, balancerPeer, postDemand); got != steering.NotRefused {
+		t.Fatalf("the opening is refused: %v", got)
+	}
+	fromTarget := func(flags steering.Flags, seq uint32, length int) {
+		a.step(&steering.SegmentReceived{Segment: steering.Segment{Flow: queueFlow(1), Flags: flags, Seq: seq, Len: length}})
+	}
+	fromTarget(steering.FlagOpen|steering.FlagAck, 500, 0)
+	a.request(1, 0, postDemand)
+	a.advance(10 * time.Millisecond)
+	fromTarget(steering.FlagAck, 501, 0)
+	a.requireAhead(1, 1, 1, 1)
+	a.advance(30 * time.Millisecond)
+	fromTarget(steering.FlagAck|steering.FlagClose, 801, 0)
+	a.requireAhead(0, 0, 0, 0)
+	fromTarget(steering.FlagAck, 501, 300)
+	if got, want := a.requestTime(), 40*time.Millisecond; got != want {
+		t.Errorf("the request time is %v, want %v", got, want)
+	}
+}
