Bound the offers of an opening that is refused as loaded

A cold or failing agent that refused an opening as loaded was offered it again at once, without MayDelay, for each refusal: the offer was withdrawn, and MayDelay was set only for agents of the warm groups. Such a loop lasts until the agent's load falls. MayDelay now applies to all groups after two such refusals, and an agent that refuses in spite of it is not offered the opening again in the round: at most six offers.

--- a/internal/core/steering/answer_time.go
+++ b/internal/core/steering/answer_time.go
@@ -207,6 +207,7 @@
 // failing.
 func (b *Balancer) pickByTime(now time.Time, e *flowEntry, r *Route, service ServiceID, hash uint64) (picked *member, lastResort bool) {
 	class, remaining := queueClassOf(r), e.remaining(now, r)
+	e.mayDelay = e.loadedRefusals >= maxLoadedRefusals
 	var local, remote [tierNone]topTwo
 	var failing *member
 	healthy := false
@@ -227,7 +228,7 @@
 	}
 	priority := r.priority()
 	if m := preferLocalByTime(now, &local, &remote, priority, r.Demand.Objective); m != nil {
-		e.mayDelay = e.loadedRefusals >= maxLoadedRefusals || m.waitTier(now, class, priority, remaining) == tierDelay
+		e.mayDelay = e.mayDelay || m.waitTier(now, class, priority, remaining) == tierDelay
 		return m, false
 	}
 	if m := preferLocal(now, &local[tierCold], &remote[tierCold]); m != nil || healthy {
--- a/internal/core/steering/answer_time_test.go
+++ b/internal/core/steering/answer_time_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -486,3 +487,37 @@
 		t.Fatalf("the last offer is %+v, want one that may delay others", offers)
 	}
 }
+
+// Agents refuse an opening as loaded whatever it says: the offers must end. A cold or failing agent
+// was offered the same opening again for each refusal, without end and without MayDelay.
+func TestOffersOfAnOpeningRefusedAsLoadedAreBounded(t *testing.T) {
+	const bound = 6 // two refusals after which the agent remains a candidate, and maxOffers
+	for name, refusal := range map[string]steering.Refusal{
+		"open": steering.NotRefused, "cold": steering.RefusedCold, "failing": steering.RefusedFailing,
+	} {
+		for _, agents := range [][]string{{"a"}, {"a", "a", "a", "a", "a", "a", "a", "a"}} {
+			t.Run(fmt.Sprintf("%s, %d agents", name, len(agents)), func(t *testing.T) {
+				b := newObjectiveBalancer(agents...)
+				for i := range agents {
+					s := slotStatus(0, 30*time.Millisecond)
+					s.Refusal = refusal
+					b.report(i, s)
+				}
+				b.open(postAddress)
+				n, mayDelay := 0, false
+				for offers := b.takeOffers(); len(offers) > 0; offers = b.takeOffers() {
+					if n += len(offers); n > bound {
+						t.Fatalf("more than %d offers of one opening", bound)
+					}
+					if mayDelay = offers[0].MayDelay; n > 2 && !mayDelay {
+						t.Errorf("offer %d does not say that the opening may delay others", n)
+					}
+					b.refuse(offers[0], steering.RefusedLoaded)
+				}
+				if !mayDelay {
+					t.Errorf("the last of %d offers does not say that the opening may delay others", n)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -264,7 +264,7 @@
 		b.resetFlow(s, "no route")
 		return
 	}
-	if msg.Refusal == RefusedLoaded {
+	if msg.Refusal == RefusedLoaded && !e.mayDelay && e.loadedRefusals < maxLoadedRefusals {
 		e.loadedRefusals++
 		e.withdrawOffer(m) // the agent may take it regardless of its load
 	} else {
