Let a repeated response finish a repeated request

A caller whose response was lost sends its request again, and the target repeats the response. On a flow without an objective, or one whose earlier requests the agent has not seen, the agent takes the copy for a new request; since responses count only with new data, its place stayed taken until the flow had been idle for 5 s. Other requests still need new data.

--- a/internal/core/requestqueue/requestqueue.go
+++ b/internal/core/requestqueue/requestqueue.go
@@ -19,7 +19,8 @@
 type Capacity struct {
 	// Concurrency is the number of requests that the target may run at once.
 	Concurrency int
-	// RequestTime is the mean time of a request that finds a free slot, 0 if unknown.
+	// RequestTime is the mean time of a request in a slot, without waiting for one, 0 if
+	// unknown.
 	RequestTime time.Duration
 }
 
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -58,6 +58,9 @@
 	firstDeadline time.Time
 	// callerData is the position in the caller's data.
 	callerData dataPosition
+	// mayBeCopy reports that the current request may be a copy of one that the target has
+	// responded to.
+	mayBeCopy bool
 	// running reports that a request was delivered to the target and not responded to.
 	running bool
 	// kept is the request that waits to be delivered, nil if there is none.
@@ -102,7 +105,8 @@
 }
 
 // repeatsResponse reports whether a segment has no data beyond what the target has sent. A
-// target that repeats an earlier response has not responded to the current request.
+// target that repeats an earlier response has not responded to the current request, unless
+// this is a copy of the earlier one.
 func (f *localFlow) repeatsResponse(seg *Segment) bool {
 	if !f.responded || seg.Flags.Has(FlagOpen) {
 		return false
@@ -130,8 +134,8 @@
 	recentOpenings []recentOpening
 	// slots is the number of requests that the target runs at once.
 	slots int
-	// meanRequestTime is the mean duration of requests that found a free slot,
-	// classRequestTimes that of each class.
+	// meanRequestTime is the mean duration of requests, scaled by slotShare; classRequestTimes
+	// is that of each class.
 	meanRequestTime   ewmaDuration
 	classRequestTimes [numFlowClasses]ewmaDuration
 	// unansweredSince is when the first opening segment since the target's last segment
@@ -260,7 +264,7 @@
 		f.nextSeq = seg.Seq + uint32(seg.Len)
 	}
 	f.established = f.established || !seg.Flags.Has(FlagOpen)
-	if seg.Len > 0 && !repeated {
+	if seg.Len > 0 && (!repeated || f.mayBeCopy) {
 		elapsed, finished = s.finishRequest(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -126,7 +126,8 @@
 	// priority waits for: those of the same or a higher priority, and all that the target
 	// executes.
 	Ahead [NumPriorities]uint16
-	// RequestTime is the mean time of a request that finds a free slot, 0 if unknown.
+	// RequestTime is the mean time of a request in a slot, without waiting for one, 0 if
+	// unknown.
 	RequestTime time.Duration
 	// Concurrency is the number of requests up to which the agent admits new flows, 0
 	// if unknown. It is below Slots while the target warms up.
--- a/internal/core/steering/schedule.go
+++ b/internal/core/steering/schedule.go
@@ -59,13 +59,15 @@
 // segment of an earlier request and data on a flow that the target has closed.
 func (f *localFlow) startsRequest(seg *Segment) bool {
 	next := seg.Seq + uint32(seg.Len)
-	advances := !f.callerData.known || int32(next-f.callerData.next) > 0
+	known := f.callerData.known
+	advances := !known || int32(next-f.callerData.next) > 0
 	if advances {
 		f.callerData = dataPosition{next, true}
 	}
 	if f.busy && !f.awaitingRequest {
 		return false
 	}
+	f.mayBeCopy = !known || !advances
 	return advances && !f.closed || f.objective == 0
 }
 
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -941,3 +941,23 @@
 	a.respond(1)
 	a.requireDelivered(10)
 }
+
+// A response is lost on its way to the caller, which sends the request again, and the target sends
+// the response again. If the agent takes the copy of the request for a new one, the repeated
+// response must free its place: it was taken until the flow was idle for 5 s.
+func TestRepeatedResponseFinishesARepeatedRequest(t *testing.T) {
+	for name, d := range map[string]steering.Demand{"without an objective": {}, "first request seen is a copy": feedDemand} {
+		t.Run(name, func(t *testing.T) {
+			a := newQueueAgent(t)
+			a.learn(1)
+			if d.Objective == 0 {
+				a.request(1, 0, d)
+			}
+			a.respond(1)
+			a.request(1, 0, d)
+			a.requireAhead(1, 1, 1, 1)
+			a.repeatResponse(1)
+			a.requireAhead(0, 0, 0, 0)
+		})
+	}
+}
