--- a/internal/core/requestqueue/requestqueue_test.go
+++ b/internal/core/requestqueue/requestqueue_test.go
@@ -204,3 +204,22 @@
 		}
 	}
 }
+
+// Feeds with a shorter objective keep arriving. A post yields to their earlier deadlines only while
+// more than half of its objective is left: it must not wait until it is late.
+func TestPostDoesNotYieldForever(t *testing.T) {
+	const objective = 300 * time.Millisecond
+	var q requestqueue.Queue[string]
+	q.Add("post", requestqueue.Request{Priority: 1, Objective: objective, Deadline: start.Add(objective), ArrivedAt: start})
+	for waited := time.Duration(0); waited <= objective/2; waited += 10 * time.Millisecond {
+		now := start.Add(waited)
+		q.Add("feed", requestqueue.Request{Priority: 2, Objective: 50 * time.Millisecond, Deadline: now.Add(50 * time.Millisecond), ArrivedAt: now})
+		if key, _ := q.Take(now, capacity); key == "post" {
+			if waited == 0 {
+				t.Error("the post does not yield at all")
+			}
+			return
+		}
+	}
+	t.Errorf("the post still waits after half of its objective")
+}
--- a/internal/core/steering/guess_test.go
+++ b/internal/core/steering/guess_test.go
@@ -55,3 +55,44 @@
 		})
 	}
 }
+
+// Segments that follow a flow must not go round between agents of which none holds it, also if one
+// confirmed the flow and has lost it since: each of three probed agents gets each segment at most
+// once more than before the loss, then all agents are queried.
+func TestSegmentsOfALostFlowDoNotCirculate(t *testing.T) {
+	for name, confirmAt := range map[string]int{"never held": -1, "lost after the first probe": 0, "lost after the third": 2} {
+		t.Run(name, func(t *testing.T) {
+			b := newQueueingBalancer(6)
+			flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 9}, Address: routeAddress}
+			var pending []steering.Effect
+			add := func(effects []steering.Effect) {
+				for _, e := range effects {
+					if e.Kind == steering.EffectSend && (e.Message.Kind == steering.MessageProbe || e.Message.Kind == steering.MessageForward) {
+						pending = append(pending, e)
+					}
+				}
+			}
+			const segments = 3
+			for i := range segments {
+				add(b.Step(b.now, &steering.SegmentReceived{Segment: steering.Segment{Flow: flow, Flags: steering.FlagAck, Seq: uint32(1 + 100*i), Ack: 1, Len: 100}}))
+			}
+			n := 0
+			for ; len(pending) > 0; n++ {
+				if n > 2*3*segments {
+					t.Fatalf("more than %d messages with %d segments", n-1, segments)
+				}
+				e := pending[0]
+				pending = pending[1:]
+				if n == confirmAt {
+					add(b.Step(b.now, &steering.MessageReceived{From: e.To, Message: steering.Message{Kind: steering.MessageHeld, Flow: flow}}))
+				}
+				add(b.Step(b.now, &steering.MessageReceived{From: e.To, Message: steering.Message{
+					Kind: steering.MessageMissed, Verdict: steering.VerdictAbsent, Segment: e.Message.Segment,
+				}}))
+			}
+			if n < 3 {
+				t.Errorf("%d messages, want the segments at three agents", n)
+			}
+		})
+	}
+}
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -961,3 +961,39 @@
 		})
 	}
 }
+
+// Places must be freed across the end of the range of sequence numbers, after a response of more
+// than ackWindow bytes, and on a flow whose port is used again with lower numbers.
+func TestResponsesFreePlacesWhateverTheSequenceNumbers(t *testing.T) {
+	respond := func(a *queueAgent, seq uint32, flags steering.Flags, length int) {
+		a.step(&steering.SegmentReceived{Segment: steering.Segment{Flow: queueFlow(1), Flags: steering.FlagAck | flags, Seq: seq, Len: length}})
+	}
+	forward := func(a *queueAgent, s steering.Segment, ack uint32) {
+		s.Flow, s.Flags, s.Ack, s.Len = queueFlow(1), s.Flags|steering.FlagAck, ack, 100
+		a.step(&steering.MessageReceived{From: balancerPeer, Message: steering.Message{Kind: steering.MessageForward, Demand: feedDemand, Segment: s}})
+	}
+	for name, first := range map[string]uint32{"wrapped": 1<<32 - 50, "zero": 0, "sign bit": 1<<31 - 50} {
+		t.Run(name, func(t *testing.T) {
+			a := newQueueAgent(t)
+			a.offer(1, balancerPeer, feedDemand)
+			respond(a, first, steering.FlagOpen, 0)
+			seq := first + 1
+			for number := range 3 {
+				forward(a, steering.Segment{Seq: uint32(1 + 100*number)}, seq)
+				a.requireAhead(1, 1, 1, 1)
+				for range 2000 { // 2.4 MB
+					respond(a, seq, 0, 1200)
+					seq += 1200
+				}
+				a.requireAhead(0, 0, 0, 0)
+			}
+			forward(a, steering.Segment{Seq: 1000, Flags: steering.FlagReset}, seq)
+			a.offer(1, balancerPeer, feedDemand)
+			respond(a, seq-5000, steering.FlagOpen, 0)
+			forward(a, steering.Segment{Seq: 1}, seq-4999)
+			a.requireAhead(1, 1, 1, 1)
+			respond(a, seq-4999, 0, 100)
+			a.requireAhead(0, 0, 0, 0)
+		})
+	}
+}
