--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -58,6 +58,9 @@
 	firstDeadline time.Time
 	// callerData is the position in the caller's data.
 	callerData dataPosition
+	// mayBeCopy reports that the current request may be a copy of one that the target has
+	// responded to.
+	mayBeCopy bool
 	// running reports that a request was delivered to the target and not responded to.
 	running bool
 	// kept is the request that waits to be delivered, nil if there is none.
@@ -103,7 +106,7 @@
 
 // recordSequence records the position of a segment in what the target sends, and reports whether
 // it shows data beyond what was seen. A target that repeats an earlier response has not responded
-// to the current request. Segments may overtake each other: one without data that follows a gap,
+// to the current request, unless this is a copy of the earlier one. Segments may overtake each other: one without data that follows a gap,
 // such as a close, shows the data in the gap.
 func (f *localFlow) recordSequence(seg *Segment) (progress bool) {
 	next := seg.Seq + uint32(seg.Len)
@@ -139,8 +142,8 @@
 	recentOpenings []recentOpening
 	// slots is the number of requests that the target runs at once.
 	slots int
-	// meanRequestTime is the mean duration of requests that found a free slot,
-	// classRequestTimes that of each class.
+	// meanRequestTime is the mean duration of requests, scaled by slotShare; classRequestTimes
+	// is that of each class.
 	meanRequestTime   ewmaDuration
 	classRequestTimes [numFlowClasses]ewmaDuration
 	// unansweredSince is when the first opening segment since the target's last segment
@@ -265,7 +268,7 @@
 	f.lastSegment, f.lastResponse = now, now
 	progress := f.recordSequence(seg)
 	f.established = f.established || !seg.Flags.Has(FlagOpen)
-	if progress {
+	if progress || seg.Len > 0 && f.mayBeCopy {
 		elapsed, finished = s.finishRequest(now, f)
 	}
 	if seg.Flags&(FlagClose|FlagReset) != 0 {
