--- a/internal/core/pacing/limiter.go
+++ b/internal/core/pacing/limiter.go
@@ -23,7 +23,7 @@
 	maxStepGap = 750 * time.Millisecond
 )
 
-// Limiter is the limit on the number of requests that a target executes at once. The zero
+// Limiter is the number of requests in flight up to which a target gets new flows. The zero
 // value has no slots; SetSlots sets them.
 type Limiter struct {
 	slots, limit int
