--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,7 +23,8 @@
 
 // scenarios are the cases by name. Each reports whether its rule was broken.
 var scenarios = map[string]func(w *World, trouble bool) (broken bool, err error){
-	"torn": playTorn,
+	"torn":  playTorn,
+	"leave": playLeave,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/torn.go
+++ b/review/rig2/torn.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -20,10 +21,14 @@
 	idleRoutes = 7450
 )
 
-// tornConfig returns a configuration of many routes in which one has a given service.
-func tornConfig(version int, route netip.AddrPort, service string) []byte {
+// tornConfig returns a configuration of many routes in which one has a given service. The second
+// version has a further route.
+func tornConfig(version int, route netip.AddrPort, service string, added ...netip.AddrPort) []byte {
 	c := NewConfig(version, "desk", "archive")
 	c.Add("moved", route, "idempotent", service)
+	for _, a := range added {
+		c.Add("added", a, "non_idempotent", "desk")
+	}
 	for i := range idleRoutes {
 		c.Add(fmt.Sprintf("r-%07d", i), RouteAddress(1+i/2, 8080+i%2*363), "idempotent", "desk")
 	}
@@ -33,7 +38,7 @@
 // playTorn restarts a balancer in a planned way. While it reads the store page by page, the
 // operator moves a route to another service and then takes a zone out.
 func playTorn(w *World, trouble bool) (bool, error) {
-	route := RouteAddress(0, 443)
+	route, added := RouteAddress(0, 443), RouteAddress(1, 443)
 	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		w.AddEndpoint(zone, "desk")
 		w.AddEndpoint(zone, "archive")
@@ -57,7 +62,7 @@
 			w.Record.Note("%s runs %s", e.ID, request)
 		}
 	}
-	v1, v2 := tornConfig(7, route, "desk"), tornConfig(9, route, "archive")
+	v1, v2 := tornConfig(7, route, "desk"), tornConfig(9, route, "archive", added)
 	w.Record.Say("configurations of %d and %d bytes", len(v1), len(v2))
 	w.Store.Put("op/config", v1)
 	w.Store.Put("op/evacuate/zone-c", []byte("{}"))
@@ -140,6 +145,8 @@
 	if t := acked.Add(configApply); t.After(judgedFrom) {
 		judgedFrom = t
 	}
+	time.Sleep(time.Until(judgedFrom.Add(5 * time.Second)))
+	resets := moveFlows(w, added, restarted)
 	time.Sleep(time.Until(judgedFrom.Add(15 * time.Second)))
 	close(stop)
 	clients.Wait()
@@ -157,9 +164,46 @@
 			w.Record.Note("CONFIG: %s was sent %.1f s after the ack, through %s, and run by desk", request, s.at.Sub(acked).Seconds(), s.via.Name)
 		}
 	}
+	w.Record.Say("%d of %d open flows of the added route were reset while their endpoint held them", resets, movedFlows)
 	w.Record.Say("%d requests were judged, %d were handled as only the older version allows", judged, stale)
 	if judged < 50 {
 		return false, fmt.Errorf("too few requests were run")
 	}
 	return stale > 0, nil
 }
+
+// movedFlows is the number of flows of the added route.
+const movedFlows = 10
+
+// moveFlows opens flows of the added route through the other balancer, and has the router send
+// their next packets to the restarted one, as it does whenever a node joins or leaves the rotation.
+// It returns how many were reset while their endpoint held them.
+func moveFlows(w *World, added netip.AddrPort, restarted *Node) (resets int) {
+	for n := range movedFlows {
+		f, err := w.Client.Open(added, w.Balancers[0].IP)
+		if err != nil {
+			w.Record.Note("flow %s of the added route: %v", f.Key.client, err)
+			continue
+		}
+		text, err := f.Request(fmt.Sprintf("added %d", n), 2*time.Second)
+		w.Record.Note("flow %s of the added route: %s %v", f.Key.client, text, err)
+		f.Via = restarted.IP
+		text, err = f.Request(fmt.Sprintf("added %d, moved", n), 2*time.Second)
+		w.Record.Note("flow %s, through %s: %s %v", f.Key.client, restarted.Name, text, err)
+		if errors.Is(err, errReset) && w.holds(f.Key) {
+			resets++
+		}
+		f.Close()
+	}
+	return resets
+}
+
+// holds reports whether an endpoint holds an open flow.
+func (w *World) holds(f flowKey) bool {
+	for _, e := range w.Endpoints {
+		if e.Holds(f) {
+			return true
+		}
+	}
+	return false
+}
