--- a/review/rig2/added.go
+++ b/review/rig2/added.go
@@ -14,6 +14,8 @@
 	maxMisses     = 2
 	// addedFlows is the number of flows of the added route.
 	addedFlows = 10
+	// addedApplyMs is config_apply_ms of the sheet that has links of 10 to 200 Mbit/s.
+	addedApplyMs = 5000
 )
 
 // playAdded adds a route while a balancer is stopped in a planned way. Flows of the route open
@@ -27,6 +29,7 @@
 		w.AddEndpoint(zone, "archive")
 	}
 	first, second := w.AddBalancer("zone-a"), w.AddBalancer("zone-a")
+	first.ApplyMs, second.ApplyMs = addedApplyMs, addedApplyMs
 	link, err := NewRelay(fmt.Sprintf("%s:%d", second.IP, portStore), w.StoreAddr, linkMegabits)
 	if err != nil {
 		return false, err
@@ -100,7 +103,7 @@
 	for n := 0; ; n++ {
 		f, err := w.Client.Open(added, second.IP)
 		if err == nil {
-			w.Record.Say("%s opens flows of the route %.2f s after the ack; allowed are %.0f s", second.Name, time.Since(acked).Seconds(), configApply.Seconds())
+			w.Record.Say("%s opens flows of the route %.2f s after the ack; allowed are %d ms", second.Name, time.Since(acked).Seconds(), addedApplyMs)
 			f.Close()
 			break
 		}
--- a/review/rig2/node.go
+++ b/review/rig2/node.go
@@ -28,10 +28,12 @@
 // Node is a machine of the system with its process.
 type Node struct {
 	Role, Name, Zone, IP, Service, Store string
-	dir                                  string
-	record                               *Record
-	cmd                                  *exec.Cmd
-	exited                               chan struct{}
+	// ApplyMs is config_apply_ms, 3000 if zero.
+	ApplyMs int
+	dir     string
+	record  *Record
+	cmd     *exec.Cmd
+	exited  chan struct{}
 }
 
 // settings returns the settings file, as the platform renders it from the template of the role.
@@ -39,7 +41,11 @@
 	s := fmt.Sprintf("node = %q\ndomain = %q\nsegments = \"%s:%d\"\npeer = \"%s:%d\"\nready = \"%s:%d\"\nmetrics = \"%s:%d\"\nstop_timeout = \"6s\"\n",
 		n.Name, n.Zone, n.IP, portPackets, n.IP, portPeer, n.IP, portReady, n.IP, portMetrics)
 	if n.Role == "balancer" {
-		s += "apply_timeout = \"3000ms\"\n"
+		apply := n.ApplyMs
+		if apply == 0 {
+			apply = 3000
+		}
+		s += fmt.Sprintf("apply_timeout = \"%dms\"\n", apply)
 	} else {
 		s += fmt.Sprintf("outbound = \"%s:%d\"\nannounce = \"%s:%d\"\ntarget = \"%s:%d\"\nservice = %q\nheartbeat_interval = \"770ms\"\n",
 			n.IP, portOutbound, n.IP, portControl, n.IP, portApp, n.Service)
