--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,9 +23,10 @@
 
 // scenarios are the cases by name. Each reports whether its rule was broken.
 var scenarios = map[string]func(w *World, trouble bool) (broken bool, err error){
-	"torn":  playTorn,
-	"added": playAdded,
-	"leave": playLeave,
+	"torn":   playTorn,
+	"revoke": playRevoke,
+	"added":  playAdded,
+	"leave":  playLeave,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/relay.go
+++ b/review/rig2/relay.go
@@ -16,6 +16,8 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	// refusing makes the relay reset connections.
+	refusing bool
 	// free is when the link towards the machine has sent all that was given to it.
 	free time.Time
 }
@@ -37,6 +39,13 @@
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		refusing := r.refusing
+		r.mu.Unlock()
+		if refusing {
+			reset(down)
+			continue
+		}
 		up, err := net.Dial("tcp4", r.upstream)
 		if err != nil {
 			_ = down.Close()
@@ -87,6 +96,27 @@
 	time.Sleep(time.Until(until))
 }
 
+// Refuse makes the relay reset all connections, or ends that.
+func (r *Relay) Refuse(refuse bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = refuse
+	if refuse {
+		for _, c := range r.conns {
+			reset(c)
+		}
+		r.conns = nil
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Close ends the relay.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -161,6 +161,17 @@
 	_ = json.NewEncoder(w).Encode(body) // a broken connection is the node's matter
 }
 
+// Revoke ends the lease under which a key was written.
+func (s *Store) Revoke(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	if ok && s.leases[i.Lease] != nil {
+		s.endLease(i.Lease)
+	}
+	return ok
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
