Don't reset flows that may be open for want of a route by an old configuration

Cause: "no route" speaks of the newest configuration, and was said from the one at hand, for a caller's segment, for a refused opening and for a waiting one.

Change: a flow that may be open is reset only after a read of the store that began when its segment was here already, with the store's configuration in force and no restore in the last 2 s. If the newest configuration has no route then, it has dropped the one by which the flow was opened. Until then the flow goes to its holder and copies of openings wait. The first copy of an opening is still reset in the same step, unless an agent has told of a newer revision.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -25,6 +25,8 @@
 type BalancerCounters struct {
 	Opened, OpenStale, Queued, OpenExpired, Refused, Forwarded, Probed, Missed, Searched, Tried atomic.Uint64
 	ResetNoRoute, ResetLost, SearchesAbandoned, CacheFull, RefusedOverload, OpeningsMoved       atomic.Uint64
+	// Unrouted counts the flows without a route that waited for a read of the store.
+	Unrouted atomic.Uint64
 }
 
 // Balancer decides to which agent the segments of callers go.
@@ -38,6 +40,7 @@
 	entries      map[Flow]*flowEntry
 	demand       demandCounters
 	silence      silenceSection
+	unrouted     unroutedSection
 
 	searches []Flow
 	queues   [numQueueClasses][]Flow
@@ -60,7 +63,7 @@
 	return &Balancer{
 		identity: identity, confirmation: newConfirmationSection(identity),
 		members: newMemberSection(), entries: make(map[Flow]*flowEntry), demand: make(demandCounters),
-		backlogs: make(map[backlogKey]*overload.Backlog), requestTimes: make(map[ServiceID]medianRequestTime),
+		backlogs: make(map[backlogKey]*overload.Backlog), requestTimes: make(map[ServiceID]medianRequestTime), unrouted: newUnroutedSection(),
 	}
 }
 
@@ -93,8 +96,7 @@
 	r := b.config.route(s.Flow.Address)
 	switch {
 	case r == nil:
-		b.Counters.ResetNoRoute.Add(1)
-		b.resetFlow(s, "no route")
+		b.handleUnrouted(now, s)
 	case s.IsOpening():
 		b.openFlow(now, s, r)
 	default:
@@ -131,6 +133,7 @@
 	b.pingDueMembers(now)
 	b.advanceSearches(now)
 	b.offerQueued(now)
+	b.tickUnrouted(now)
 	b.removeGoneMembers(now)
 	if now.Sub(b.lastSweep) > sweepInterval {
 		b.sweep(now, entryLifetime)
--- a/internal/core/steering/confirmation.go
+++ b/internal/core/steering/confirmation.go
@@ -39,6 +39,8 @@
 	maxAge       time.Duration
 	applyTimeout time.Duration
 	random       *rand.Rand
+	// toldRevision is the newest revision of the operators' state that agents have told.
+	toldRevision uint64
 }
 
 func newConfirmationSection(identity BalancerIdentity) confirmationSection {
@@ -91,6 +93,7 @@
 // learnConfirmation applies what an agent knows of the operators' state.
 func (b *Balancer) learnConfirmation(now time.Time, s *Status) {
 	c := &b.config
+	b.confirmation.toldRevision = max(b.confirmation.toldRevision, s.Revision)
 	if s.Revision > c.state.VerifiedRevision {
 		b.requestRefresh(now)
 		return
@@ -105,6 +108,20 @@
 	}
 }
 
+// knowsNewerConfiguration reports whether an agent has told of a newer state of the operators
+// than this balancer has read.
+func (b *Balancer) knowsNewerConfiguration() bool {
+	return b.confirmation.toldRevision > b.config.state.VerifiedRevision
+}
+
+// isNewestSince reports whether the configuration in force was the newest one at a time after t.
+// Only this balancer's reads tell: what agents tell arrives late if they were suspended. A store
+// that was restored from a copy tells once operators have had the time to write their entries
+// again.
+func (b *Balancer) isNewestSince(now, t time.Time) bool {
+	return !b.config.kept && !b.config.held.isActive(now) && b.confirmation.readAt.After(t)
+}
+
 // announceConfirmation tells the local agents at once that a requested read has confirmed
 // the state, before other balancers read the store too.
 func (b *Balancer) announceConfirmation(now time.Time) {
--- a/internal/core/steering/holders.go
+++ b/internal/core/steering/holders.go
@@ -261,7 +261,8 @@
 	}
 	r := b.config.route(s.Flow.Address)
 	if r == nil {
-		b.resetFlow(s, "no route")
+		e.setStage(stageNew, nil, now)
+		b.awaitRoute(now, s) // other copies of the opening may have reached other balancers
 		return
 	}
 	if msg.Refusal == RefusedLoaded && !e.mayDelay && e.loadedRefusals < maxLoadedRefusals {
--- a/internal/core/steering/queue.go
+++ b/internal/core/steering/queue.go
@@ -189,8 +189,11 @@
 	r := b.config.route(f.Address)
 	switch {
 	case r == nil:
-		b.resetFlow(e.queuedSegment, "no route")
-		b.deleteEntry(now, e, f)
+		e.queuedAt = time.Time{}
+		if e.stage == stageQueued {
+			e.setStage(stageNew, nil, now)
+			b.awaitRoute(now, e.queuedSegment)
+		}
 		return false
 	case r.hasObjective():
 		return b.retainWithObjective(now, f, e, r)
--- a/internal/core/steering/restored.go
+++ b/internal/core/steering/restored.go
@@ -22,10 +22,13 @@
 	h.out, h.until = out, now.Add(restoredHoldTime)
 }
 
+// isActive reports whether operators may not have written their entries again yet.
+func (h *heldDomains) isActive(now time.Time) bool { return now.Before(h.until) }
+
 // merge returns the domains that are out according to the store, and the held ones.
 func (h *heldDomains) merge(now time.Time, stored map[string]bool) map[string]bool {
 	h.stored = stored
-	if !now.Before(h.until) {
+	if !h.isActive(now) {
 		return stored
 	}
 	merged := make(map[string]bool, len(h.out)+len(stored))
@@ -37,7 +40,7 @@
 // releaseHeldDomains puts the store's domains into force once the hold has ended.
 func (b *Balancer) releaseHeldDomains(now time.Time) {
 	h := &b.config.held
-	if h.out == nil || now.Before(h.until) {
+	if h.out == nil || h.isActive(now) {
 		return
 	}
 	h.out = nil
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -96,6 +96,9 @@
 	state  OperatorState
 	loaded bool
 	held   heldDomains
+	// kept is set while the configuration in force is not the store's: that is older, or can't
+	// be decoded.
+	kept bool
 	// withObjective is the services of the routes of objectivesOf that have an objective.
 	withObjective map[ServiceID]bool
 	objectivesOf  *Configuration
@@ -113,7 +116,9 @@
 		c.state.VerifiedRevision = s.VerifiedRevision
 		return false
 	}
-	if current := c.state.Configuration; current != nil && (s.Configuration == nil || s.Configuration.Version < current.Version) {
+	current := c.state.Configuration
+	c.kept = current != nil && (s.Configuration == nil || s.Configuration.Version < current.Version)
+	if c.kept {
 		s.Configuration = current
 	}
 	if c.loaded && s.Era > c.state.Era {
@@ -164,6 +169,7 @@
 	if e.State.VerifiedRevision >= b.config.state.VerifiedRevision {
 		b.confirmation.recordRead(e.ConfirmedAt)
 	}
+	defer b.resolveUnrouted(now)
 	if !changed {
 		b.announceConfirmation(now)
 		return
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -237,6 +237,7 @@
 		"direct_tried":                  &c.Tried,
 		"direct_reset_no_route":         &c.ResetNoRoute,
 		"direct_reset_lost":             &c.ResetLost,
+		"direct_unrouted":               &c.Unrouted,
 		"direct_unknown":                &c.SearchesAbandoned,
 		"direct_cache_full":             &c.CacheFull,
 	}
