--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -68,6 +68,13 @@
 			out.up = up
 		},
 	}
+	runWatcher(t, w)
+	return out
+}
+
+// runWatcher runs a watcher until the test ends.
+func runWatcher(t *testing.T, w *storeWatcher) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -78,7 +85,6 @@
 		cancel()
 		<-done
 	})
-	return out
 }
 
 func TestWatcherReportsChangesAndDeletions(t *testing.T) {
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -103,13 +103,13 @@
 	return nil
 }
 
-func (f *fakeStore) List(_ context.Context, prefix string) (store.RangeResult, error) {
+func (f *fakeStore) List(_ context.Context, prefix string) (store.ListResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.countCall(); err != nil {
-		return store.RangeResult{}, err
+		return store.ListResult{}, err
 	}
-	out := store.RangeResult{Revision: f.revision}
+	out := store.ListResult{Revision: f.revision, Pages: 1}
 	for _, key := range slices.Sorted(maps.Keys(f.pairs)) {
 		if strings.HasPrefix(key, prefix) {
 			out.KVs = append(out.KVs, f.pairs[key])
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -93,24 +93,26 @@
 
 // watch reads all pairs and polls for changes until a call fails.
 func (w *storeWatcher) watch(ctx context.Context, retry *backoff.ExponentialBackOff) error {
-	started := time.Now()
-	result, err := w.store.List(ctx, w.prefix)
+	read, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
 	retry.Reset()
-	w.replacePairs(result)
-	w.publish(result.Revision, started)
+	w.replacePairs(read)
+	w.publish(read.revision, read.confirmedAt)
 	w.refresh.clear()
 	w.setStatus(true, nil)
-	revision := result.Revision
+	revision := read.revision
 	for {
 		r := w.poll(ctx, revision)
 		if r.err != nil {
 			return r.err
 		}
 		revision = r.next
-		w.applyEvents(r.events)
+		for _, e := range r.events {
+			w.raiseRevision(e.KV)
+		}
+		applyEvents(w.pairs, r.events)
 		w.publish(revision, r.confirmedAt)
 		if len(r.events) > 0 {
 			w.refresh.clear()
@@ -195,20 +197,58 @@
 	return r
 }
 
+// readResult is the pairs under the prefix as the store held them at a revision.
+type readResult struct {
+	pairs    map[string]store.KeyValue
+	revision store.Revision
+	// confirmedAt is a time at which the revision was the newest one.
+	confirmedAt time.Time
+}
+
+// errPollBehindRead is the cause of a read that is repeated.
+var errPollBehindRead = errors.New("the poll does not reach the newest pair of the list")
+
+// read reads all pairs. Changes between the pages of a list are applied to it before anyone uses
+// it: the revision of the newest pair would else stand for changes that the copy lacks.
+func (w *storeWatcher) read(ctx context.Context) (readResult, error) {
+	r := readResult{confirmedAt: time.Now()}
+	list, err := w.store.List(ctx, w.prefix)
+	if err != nil {
+		return r, err
+	}
+	r.revision, r.pairs = list.Revision, make(map[string]store.KeyValue, len(list.KVs))
+	newest := list.Revision
+	for _, kv := range list.KVs {
+		r.pairs[kv.Key] = kv
+		newest = max(newest, kv.ModRevision)
+	}
+	if list.Pages <= 1 {
+		return r, nil
+	}
+	p := w.pollOnce(ctx, list.Revision, 0)
+	if p.err != nil {
+		return r, p.err
+	}
+	if p.next < newest {
+		return r, errPollBehindRead
+	}
+	applyEvents(r.pairs, p.events)
+	r.revision, r.confirmedAt = p.next, p.confirmedAt
+	return r, nil
+}
+
 // replacePairs replaces the copy by the result of a read. A pair that is missing
 // from it was deleted at some revision up to that of the read.
-func (w *storeWatcher) replacePairs(result store.RangeResult) {
-	previous := w.pairs
-	w.pairs = make(map[string]store.KeyValue, len(result.KVs))
-	for _, kv := range result.KVs {
-		w.pairs[kv.Key] = kv
+func (w *storeWatcher) replacePairs(r readResult) {
+	for _, kv := range r.pairs {
 		w.raiseRevision(kv)
 	}
-	for key := range previous {
-		if _, ok := w.pairs[key]; !ok {
-			w.raiseRevision(store.KeyValue{Key: key, ModRevision: result.Revision})
+	for key := range w.pairs {
+		if _, ok := r.pairs[key]; !ok {
+			w.raiseRevision(store.KeyValue{Key: key, ModRevision: r.revision})
 		}
 	}
+	w.pairs = r.pairs
 }
 
 // raiseRevision raises the revision of the writer of a changed pair.
@@ -220,15 +260,14 @@
 	}
 }
 
-// applyEvents applies events to the copy.
-func (w *storeWatcher) applyEvents(events []store.Event) {
+// applyEvents applies events to pairs.
+func applyEvents(pairs map[string]store.KeyValue, events []store.Event) {
 	for _, e := range events {
-		w.raiseRevision(e.KV)
 		if e.Deleted {
-			delete(w.pairs, e.KV.Key)
+			delete(pairs, e.KV.Key)
 			continue
 		}
-		w.pairs[e.KV.Key] = e.KV
+		pairs[e.KV.Key] = e.KV
 	}
 }
 
--- a/internal/store/polling.go
+++ b/internal/store/polling.go
@@ -5,6 +5,16 @@
 	"time"
 )
 
+// ListResult is the result of a List.
+type ListResult struct {
+	KVs []KeyValue
+	// Revision is that of the first page: a Poll from it reports every later change.
+	Revision Revision
+	// Pages is the number of pages. Each is read at a revision of its own, so that the pairs of
+	// several pages may never have existed together.
+	Pages int
+}
+
 // PollingStore is a key-value service whose watches are long polls over a
 // prefix. Revisions also hold the era of the store: see NewRevision. Calls return the
 // errors of this package. It is safe for concurrent use.
@@ -13,10 +23,9 @@
 	// the store is restored from a copy: changes after the copy are lost, leases too, and
 	// their revisions are given out again.
 	Era() uint64
-	// List reads all pairs under a prefix. The result's revision is that of the
-	// first page, so a Poll from it reports every later change. It fails with
-	// ErrCompacted if the store was restored while the pages were read.
-	List(ctx context.Context, prefix string) (RangeResult, error)
+	// List reads all pairs under a prefix, in pages. It fails with ErrCompacted if the store
+	// was restored while the pages were read.
+	List(ctx context.Context, prefix string) (ListResult, error)
 	// Get reads a pair and reports whether it exists.
 	Get(ctx context.Context, key string) (KeyValue, bool, error)
 	// Poll waits for changes under a prefix after a revision and returns them
