Tell how long a change by operators takes to receive, decode and apply

The store's client reports the times of a response through a trace of the call; balancers log them with each change of operators' entries and keep histograms (direct_change_*).

--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -42,6 +42,7 @@
 	// segment is the event that the goroutine reading callers' segments reuses.
 	segment steering.SegmentReceived
 	refresh signal
+	loads   loadHistograms
 	// operatorState and members are the last state read from the store. Only the
 	// watcher's goroutine uses them.
 	operatorState steering.OperatorState
@@ -57,7 +58,7 @@
 		steering: steering.NewBalancer(steering.BalancerIdentity{
 			Identity: steering.Identity{Node: string(s.Node), Domain: string(s.Domain)}, ApplyTimeout: s.ApplyTimeout,
 		}),
-		refresh: newSignal(),
+		refresh: newSignal(), loads: newLoadHistograms(metrics),
 	}
 	b.core, b.performRoleEffect = b.steering, b.performBalancerEffect
 	return b
@@ -138,12 +139,15 @@
 // the part that has changed.
 func (b *Balancer) handleSnapshot(s storeSnapshot) {
 	b.checkEra()
-	if s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision == 0 {
+	changed := s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision == 0
+	started := time.Now()
+	if changed {
 		state, errs := b.platform.DecodeOperatorState(s.pairs)
 		b.warnMalformed("An operator entry is malformed.", errs)
 		state.Revision, state.Era = s.operatorRevision, store.Revision(s.operatorRevision).Era()
 		b.operatorState = state
 	}
+	decoded := time.Now()
 	b.operatorState.VerifiedRevision = s.revision
 	if s.agentRevision != b.members.Revision || b.members.VerifiedRevision == 0 {
 		records, errs := decodeRecords(b.platform.AgentPrefix, s.pairs)
@@ -151,7 +155,11 @@
 		b.members = steering.MembersLoaded{Records: records, Revision: s.agentRevision}
 	}
 	b.members.VerifiedRevision = s.revision
+	applying := time.Now()
 	b.handleEvent(&steering.ConfigurationLoaded{State: b.operatorState, ConfirmedAt: s.confirmedAt})
+	if changed {
+		b.reportLoad(&s, loadTimes{s.times.received, s.times.decoded + decoded.Sub(started), time.Since(applying)})
+	}
 	b.handleEvent(&b.members)
 }
 
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -32,6 +32,10 @@
 	latencyBuckets      = 15
 )
 
+func newLatencyBuckets() tally.DurationBuckets {
+	return tally.MustMakeExponentialDurationBuckets(latencyFirstBucket, latencyBucketFactor, latencyBuckets)
+}
+
 // headerTimeout bounds the reading of an HTTP request's header.
 const headerTimeout = 5 * time.Second
 
@@ -111,7 +115,7 @@
 		sendBuf: make([]byte, 0, maxDatagram), started: time.Now(), ctx: ctx, cancel: cancel,
 	}
 	n.current.Store(s)
-	buckets := tally.MustMakeExponentialDurationBuckets(latencyFirstBucket, latencyBucketFactor, latencyBuckets)
+	buckets := newLatencyBuckets()
 	n.latencies = [...]tally.Histogram{
 		steering.LatencyHandshake: metrics.Histogram("direct_handshake_time", buckets),
 		steering.LatencyRequest:   metrics.Histogram("direct_request_time", buckets),
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -62,6 +62,19 @@
 	// operatorRevision is that of the last change by operators, agentRevision
 	// that of the last one by agents.
 	operatorRevision, agentRevision uint64
+	// times is how long the call took whose response changed the pairs.
+	times responseTimes
+}
+
+// responseTimes is how long a response took to arrive, and to be decoded.
+type responseTimes struct{ received, decoded time.Duration }
+
+// traceTimes returns a context whose calls add their times.
+func traceTimes(ctx context.Context, t *responseTimes) context.Context {
+	return store.WithTrace(ctx, &store.Trace{ResponseDecoded: func(received, decoded time.Duration) {
+		t.received += received
+		t.decoded += decoded
+	}})
 }
 
 // run watches the prefix until the context ends.
@@ -99,7 +112,7 @@
 	}
 	retry.Reset()
 	w.replacePairs(read)
-	w.publish(read.revision, read.confirmedAt)
+	w.publish(read.revision, read.confirmedAt, read.times)
 	w.refresh.clear()
 	w.setStatus(true, nil)
 	revision := read.revision
@@ -113,7 +126,7 @@
 			w.raiseRevision(e.KV)
 		}
 		applyEvents(w.pairs, r.events)
-		w.publish(revision, r.confirmedAt)
+		w.publish(revision, r.confirmedAt, r.times)
 		if len(r.events) > 0 {
 			w.refresh.clear()
 			w.pauseAfterChange(ctx)
@@ -135,9 +148,9 @@
 }
 
 // publish passes a copy of the pairs to onSnapshot.
-func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time) {
+func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time, times responseTimes) {
 	w.onSnapshot(storeSnapshot{
-		pairs: w.sortedPairs(), revision: uint64(revision), confirmedAt: confirmedAt,
+		pairs: w.sortedPairs(), revision: uint64(revision), confirmedAt: confirmedAt, times: times,
 		operatorRevision: uint64(w.operatorRevision), agentRevision: uint64(w.agentRevision),
 	})
 }
@@ -150,6 +163,7 @@
 	// confirmedAt is when the poll began. The store may have responded long before the
 	// response is read, if the host was suspended.
 	confirmedAt time.Time
+	times       responseTimes
 	err         error
 }
 
@@ -184,7 +198,7 @@
 				return r
 			default:
 				confirmedAt = r.confirmedAt
-				w.publish(r.next, r.confirmedAt)
+				w.publish(r.next, r.confirmedAt, r.times)
 			}
 		}
 	}
@@ -193,7 +207,7 @@
 // pollOnce makes a poll.
 func (w *storeWatcher) pollOnce(ctx context.Context, after store.Revision, wait time.Duration) pollResult {
 	r := pollResult{confirmedAt: time.Now()}
-	r.events, r.next, r.err = w.store.Poll(ctx, w.prefix, after, wait)
+	r.events, r.next, r.err = w.store.Poll(traceTimes(ctx, &r.times), w.prefix, after, wait)
 	return r
 }
 
@@ -203,6 +217,7 @@
 	revision store.Revision
 	// confirmedAt is a time at which the revision was the newest one.
 	confirmedAt time.Time
+	times       responseTimes
 }
 
 // errPollBehindRead is the cause of a read that is repeated.
@@ -212,7 +227,7 @@
 // it: the revision of the newest pair would else stand for changes that the copy lacks.
 func (w *storeWatcher) read(ctx context.Context) (readResult, error) {
 	r := readResult{confirmedAt: time.Now()}
-	list, err := w.store.List(ctx, w.prefix)
+	list, err := w.store.List(traceTimes(ctx, &r.times), w.prefix)
 	if err != nil {
 		return r, err
 	}
@@ -234,6 +249,8 @@
 	}
 	applyEvents(r.pairs, p.events)
 	r.revision, r.confirmedAt = p.next, p.confirmedAt
+	r.times.received += p.times.received
+	r.times.decoded += p.times.decoded
 	return r, nil
 }
 
