Decode a configuration without the places of its values, and once a write

Cause: the decoder keeps the place of each value for the check that operators run, with a million allocations for 1 MB. A node needs places only to report errors.

Change: a document without errors is decoded into plain structures; one with an error, or with a malformed address, goes through the decoder with places as before. The configuration is kept by the revision at which it was written.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -96,7 +96,7 @@
 		SavedFlowPrefix:         platform.SavedFlowPrefix,
 		ServedIncarnationPrefix: platform.ServedIncarnationPrefix,
 		IsOperatorKey:           platform.IsOperatorKey,
-		DecodeOperatorState:     platform.DecodeOperatorState,
+		DecodeOperatorState:     new(platform.OperatorDecoder).Decode,
 	}
 }
 
