Let the time limit of a call to the store end with progress, not with the response

A configuration near the limit of a value is 1.4 MB in the store's encoding and takes 1.1 s over a link of 10 Mbit/s, the slowest of the users' sheets.

A connection that goes silent within a response is given up as before.

--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -12,8 +12,8 @@
 type PollingStore struct {
 	// Address is the store's address, ip:port. Required.
 	Address netip.AddrPort `toml:"address"`
-	// Timeout limits one call. Default 1500ms. A shorter one retries sooner; a
-	// longer one tolerates a slow store.
+	// Timeout limits the time until the response of a call begins, and each pause within
+	// it. Default 1500ms. A shorter one retries sooner; a longer one tolerates a slow store.
 	Timeout time.Duration `toml:"timeout"`
 	// Wait is how long one long poll waits for changes. Default 20s. A shorter one
 	// costs calls. A poll that was lost without an error is detected sooner: see
@@ -113,7 +113,7 @@
 				defaultDirectStopTimeout, 0, maxDirectStopTimeout, &d.StopTimeout),
 			choiceField("log_level", "Lowest severity that is logged.", "info", logLevels, &d.LogLevel),
 			addressField("store.address", "Address of the store.", &d.Store.Address),
-			durationField("store.timeout", "Time limit of one call. A shorter one retries sooner; a longer one tolerates a slow store.",
+			durationField("store.timeout", "Time limit until the response of a call begins, and of each pause within it. A shorter one retries sooner; a longer one tolerates a slow store.",
 				defaultPollingTimeout, minStoreTimeout, maxStoreTimeout, &d.Store.Timeout),
 			durationField("store.wait", "Time that one long poll waits for changes. A shorter one costs calls.",
 				defaultPollWait, minPollWait, maxPollWait, &d.Store.Wait),
