Don't ask the store for another copy of a change that is arriving

A balancer on a link of 12 Mbit/s had a change of 1 MB in force 2.8 s after the store's acknowledgement, though its transfer takes 0.9 s: in that time it lags behind the others.

Cause: agents tell it of the newer revision, and it polls the store beside the waiting poll every 0.3 s. Each answer is the whole change again, and all share the link.

Change: the store's client tells when a response begins to arrive; no refresh starts while one is arriving, for 2 s at most, so that a silent connection is still noticed.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -49,7 +49,7 @@
 	return ""
 }
 
-func startWatcher(t *testing.T, s *fakeStore, refresh chan struct{}) *observedStore {
+func startWatcher(t *testing.T, s store.PollingStore, refresh chan struct{}) *observedStore {
 	t.Helper()
 	out := new(observedStore)
 	w := &storeWatcher{
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -44,6 +45,8 @@
 	onStatus func(bool, error)
 	// refresh requests a check for changes that does not rely on the waiting poll.
 	refresh signal
+	// arrivals are the responses that have begun to arrive.
+	arrivals arrivals
 
 	pairs map[string]store.KeyValue
 	// operatorRevision and agentRevision are the revisions of the last change by
@@ -69,12 +72,9 @@
 // responseTimes is how long a response took to arrive, and to be decoded.
 type responseTimes struct{ received, decoded time.Duration }
 
-// traceTimes returns a context whose calls add their times.
-func traceTimes(ctx context.Context, t *responseTimes) context.Context {
-	return store.WithTrace(ctx, &store.Trace{ResponseDecoded: func(received, decoded time.Duration) {
-		t.received += received
-		t.decoded += decoded
-	}})
+func (t *responseTimes) add(received, decoded time.Duration) {
+	t.received += received
+	t.decoded += decoded
 }
 
 // run watches the prefix until the context ends.
@@ -147,6 +147,40 @@
 	}
 }
 
+// arrivals holds when the responses that are arriving began to. It is safe for concurrent use.
+type arrivals struct {
+	mu      sync.Mutex
+	started map[*pollResult]time.Time
+}
+
+func (a *arrivals) add(r *pollResult) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.started == nil {
+		a.started = make(map[*pollResult]time.Time)
+	}
+	a.started[r] = time.Now()
+}
+
+func (a *arrivals) remove(r *pollResult) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.started, r)
+}
+
+// sinceLatest returns how long ago the latest response began to arrive, false if none is arriving.
+func (a *arrivals) sinceLatest() (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var latest time.Time
+	for _, at := range a.started {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return time.Since(latest), len(a.started) > 0
+}
+
 // publish passes a copy of the pairs to onSnapshot.
 func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time, times responseTimes) {
 	w.onSnapshot(storeSnapshot{
@@ -167,12 +201,20 @@
 	err         error
 }
 
-// maxChecks bounds the polls of a watcher that do not wait and are in progress.
-const maxChecks = 8
+const (
+	// maxChecks bounds the polls of a watcher that do not wait and are in progress.
+	maxChecks = 8
+	// maxArrivalTime is how long a response may take to arrive before its connection counts as
+	// lost: that of the largest value over a link of 10 Mbit/s, with a margin.
+	maxArrivalTime = 2 * time.Second
+	// arrivalCheckInterval is the interval at which a postponed refresh is tried again.
+	arrivalCheckInterval = 50 * time.Millisecond
+)
 
 // poll waits for changes after a revision. While it waits, each requested refresh starts
 // another poll that does not wait, as the store may have dropped the earlier ones. Such a
-// poll without changes is published, and the wait continues.
+// poll without changes is published, and the wait continues. No refresh starts while a
+// response is arriving: it may hold a large change, of which another copy would halve the rate.
 func (w *storeWatcher) poll(ctx context.Context, after store.Revision) pollResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -180,12 +222,23 @@
 	go func() { waiting <- w.pollOnce(ctx, after, w.pollWait()) }()
 	inProgress := 0
 	var confirmedAt time.Time // by a check
+	var postponed <-chan time.Time
+	defer func() {
+		if postponed != nil {
+			w.refresh.raise()
+		}
+	}()
 	for {
 		select {
 		case r := <-waiting:
 			return r
+		case <-postponed:
+			postponed = nil
+			w.refresh.raise()
 		case <-w.refresh:
-			if inProgress < maxChecks {
+			if elapsed, arriving := w.arrivals.sinceLatest(); arriving && elapsed < maxArrivalTime {
+				postponed = time.After(arrivalCheckInterval)
+			} else if inProgress < maxChecks {
 				inProgress++
 				go func() { checks <- w.pollOnce(ctx, after, 0) }()
 			}
@@ -207,7 +260,11 @@
 // pollOnce makes a poll.
 func (w *storeWatcher) pollOnce(ctx context.Context, after store.Revision, wait time.Duration) pollResult {
 	r := pollResult{confirmedAt: time.Now()}
-	r.events, r.next, r.err = w.store.Poll(traceTimes(ctx, &r.times), w.prefix, after, wait)
+	defer w.arrivals.remove(&r)
+	ctx = store.WithTrace(ctx, &store.Trace{
+		ResponseStarted: func() { w.arrivals.add(&r) }, ResponseDecoded: r.times.add,
+	})
+	r.events, r.next, r.err = w.store.Poll(ctx, w.prefix, after, wait)
 	return r
 }
 
@@ -227,7 +284,7 @@
 // it: the revision of the newest pair would else stand for changes that the copy lacks.
 func (w *storeWatcher) read(ctx context.Context) (readResult, error) {
 	r := readResult{confirmedAt: time.Now()}
-	list, err := w.store.List(traceTimes(ctx, &r.times), w.prefix)
+	list, err := w.store.List(store.WithTrace(ctx, &store.Trace{ResponseDecoded: r.times.add}), w.prefix)
 	if err != nil {
 		return r, err
 	}
@@ -249,8 +306,7 @@
 	}
 	applyEvents(r.pairs, p.events)
 	r.revision, r.confirmedAt = p.next, p.confirmedAt
-	r.times.received += p.times.received
-	r.times.decoded += p.times.decoded
+	r.times.add(p.times.received, p.times.decoded)
 	return r, nil
 }
 
