Move the responses that are arriving to a file of their own

And a test that a configuration which can't be decoded proves nothing about routes: the one in force is older then.

--- a/internal/core/steering/unrouted_test.go
+++ b/internal/core/steering/unrouted_test.go
@@ -285,6 +285,20 @@
 	}
 }
 
+// The store's configuration can't be decoded: the one in force is an older one.
+func TestMalformedStoredConfigurationDoesNotResetAnUnroutedFlow(t *testing.T) {
+	b := newRoutelessBalancer(t)
+	b.revision++
+	b.data()
+	b.now = b.now.Add(time.Millisecond)
+	effects := b.step(&steering.ConfigurationLoaded{ConfirmedAt: b.now, State: steering.OperatorState{
+		Revision: b.revision, VerifiedRevision: b.revision,
+	}})
+	if n := countEffects(effects, isReset); n != 0 {
+		t.Errorf("%d resets", n)
+	}
+}
+
 // The store was restored from a copy that lacks the configuration by which the flow was opened, and
 // operators have not written it again yet.
 func TestRestoredStoreDoesNotResetAnUnroutedFlowAtOnce(t *testing.T) {
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -147,40 +146,6 @@
 	}
 }
 
-// arrivals holds when the responses that are arriving began to. It is safe for concurrent use.
-type arrivals struct {
-	mu      sync.Mutex
-	started map[*pollResult]time.Time
-}
-
-func (a *arrivals) add(r *pollResult) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.started == nil {
-		a.started = make(map[*pollResult]time.Time)
-	}
-	a.started[r] = time.Now()
-}
-
-func (a *arrivals) remove(r *pollResult) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.started, r)
-}
-
-// sinceLatest returns how long ago the latest response began to arrive, false if none is arriving.
-func (a *arrivals) sinceLatest() (time.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var latest time.Time
-	for _, at := range a.started {
-		if at.After(latest) {
-			latest = at
-		}
-	}
-	return time.Since(latest), len(a.started) > 0
-}
-
 // publish passes a copy of the pairs to onSnapshot.
 func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time, times responseTimes) {
 	w.onSnapshot(storeSnapshot{
@@ -204,9 +169,6 @@
 const (
 	// maxChecks bounds the polls of a watcher that do not wait and are in progress.
 	maxChecks = 8
-	// maxArrivalTime is how long a response may take to arrive before its connection counts as
-	// lost: that of the largest value over a link of 10 Mbit/s, with a margin.
-	maxArrivalTime = 2 * time.Second
 	// arrivalCheckInterval is the interval at which a postponed refresh is tried again.
 	arrivalCheckInterval = 50 * time.Millisecond
 )
@@ -236,7 +198,7 @@
 			postponed = nil
 			w.refresh.raise()
 		case <-w.refresh:
-			if elapsed, arriving := w.arrivals.sinceLatest(); arriving && elapsed < maxArrivalTime {
+			if w.arrivals.any() {
 				postponed = time.After(arrivalCheckInterval)
 			} else if inProgress < maxChecks {
 				inProgress++
