Retry a read that could not be completed with a backoff

A store that discards its history between the pages of a read, again and again, would have been read without a pause.

--- a/internal/direct/paged_read_test.go
+++ b/internal/direct/paged_read_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 	}{
 		{"configuration first", func(s *platformtest.Store) { configure(s); evacuate(s) }},
 		{"failure domain first", func(s *platformtest.Store) { evacuate(s); configure(s) }},
-		{"history lost afterwards", func(s *platformtest.Store) { configure(s); evacuate(s); s.Compact() }},
+		{"history lost before the changes are known", func(s *platformtest.Store) { configure(s); evacuate(s); s.Compact() }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := servePagedStore(t, test.write)
@@ -245,3 +246,39 @@
 	}
 	return strings.Join(words, " ")
 }
+
+// laggingPollStore is a store whose lists have two pages, and whose first poll does not reach the
+// second one.
+type laggingPollStore struct {
+	*fakeStore
+	lagged atomic.Bool
+}
+
+func (s *laggingPollStore) List(ctx context.Context, prefix string) (store.ListResult, error) {
+	list, err := s.fakeStore.List(ctx, prefix)
+	list.Revision, list.Pages = list.Revision-1, 2
+	return list, err
+}
+
+func (s *laggingPollStore) Poll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	if s.lagged.CompareAndSwap(false, true) {
+		return nil, after, nil
+	}
+	return s.fakeStore.Poll(ctx, prefix, after, wait)
+}
+
+// A poll that does not reach the newest pair of a list leaves changes between its pages unknown.
+func TestReadIsRepeatedIfThePollDoesNotReachTheList(t *testing.T) {
+	s := &laggingPollStore{fakeStore: newFakeStore()}
+	s.set("op/config", "1", 0)
+	s.set("op/evacuate/z", "{}", 0)
+	newest := s.revision
+	o := startWatcher(t, s, newSignal())
+	eventually(t, "first read", func() bool { return o.value("op/config") == "1" })
+	if got := o.get().revision; got < uint64(newest) {
+		t.Errorf("published at revision %d, the newest pair has %d", got, newest)
+	}
+	if !s.lagged.Load() {
+		t.Error("no poll completed the list")
+	}
+}
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -88,7 +89,7 @@
 			continue
 		}
 		w.setStatus(false, err)
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) && !errors.Is(err, errIncompleteRead) {
 			continue
 		}
 		sleep(ctx, retry.NextBackOff())
@@ -239,8 +240,11 @@
 	times       responseTimes
 }
 
-// errPollBehindRead is the cause of a read that is repeated.
-var errPollBehindRead = errors.New("the poll does not reach the newest pair of the list")
+var (
+	// errIncompleteRead reports that the changes between the pages of a list are not known.
+	errIncompleteRead = errors.New("the list could not be completed")
+	errPollBehindRead = errors.New("the poll does not reach its newest pair")
+)
 
 // read reads all pairs. Changes between the pages of a list are applied to it before anyone uses
 // it: the revision of the newest pair would else stand for changes that the copy lacks.
@@ -260,11 +264,11 @@
 		return r, nil
 	}
 	p := w.pollOnce(ctx, list.Revision, 0)
-	if p.err != nil {
-		return r, p.err
+	if p.err == nil && p.next < newest {
+		p.err = errPollBehindRead
 	}
-	if p.next < newest {
-		return r, errPollBehindRead
+	if p.err != nil {
+		return r, fmt.Errorf("%w: %w", errIncompleteRead, p.err)
 	}
 	applyEvents(r.pairs, p.events)
 	r.revision, r.confirmedAt = p.next, p.confirmedAt
