--- a/internal/core/steering/unrouted_test.go
+++ b/internal/core/steering/unrouted_test.go
@@ -14,6 +14,9 @@
 
 // changeRoute writes a configuration with or without the route.
 func (w *world) changeRoute(exists bool) {
+	if !w.noRoute && !exists {
+		w.droppedAt = w.now
+	}
 	w.noRoute = !exists
 	w.version++
 	w.notifyStoreChange()
@@ -139,6 +142,63 @@
 	}
 }
 
+// lag makes a balancer learn of changes of the store later, after it has read nothing for a time.
+func (w *world) lag(b *balancerNode, d time.Duration) {
+	b.missesUpdates = true
+	w.schedule(d, func() {
+		b.missesUpdates = false
+		w.syncFromStore(b)
+	})
+}
+
+// The route is dropped and added while balancers lag, restart and leave and join the rotation, in
+// random orders. A flow that is open at its target may be reset only if its route was dropped since.
+func TestRouteChangesInAnyOrderResetNoOpenFlow(t *testing.T) {
+	const (
+		steps   = 60
+		maxLag  = 3 * time.Second
+		maxStep = 400 * time.Millisecond
+	)
+	opened := 0
+	for seed := range uint64(200) {
+		w := newWorldWithoutRoute(t, seed)
+		w.addBalancer("b")
+		var callers []*caller
+		for range steps {
+			b := w.balancers[w.rand.IntN(len(w.balancers))]
+			switch w.rand.IntN(8) {
+			case 0, 1:
+				w.changeRoute(w.noRoute)
+			case 2, 3:
+				w.lag(b, time.Duration(w.rand.Int64N(int64(maxLag))))
+			case 4:
+				w.startBalancer(b)
+			case 5:
+				b.up = !b.up
+				if b.up {
+					w.startBalancer(b)
+				}
+			default:
+				callers = append(callers, w.open(), w.open())
+			}
+			for _, c := range callers {
+				if w.rand.IntN(3) == 0 {
+					w.sendRequest(c)
+				}
+			}
+			w.run(time.Duration(w.rand.Int64N(int64(maxStep))))
+		}
+		for _, c := range callers {
+			if c.holder != nil {
+				opened++
+			}
+		}
+	}
+	if opened < 100 {
+		t.Errorf("only %d flows opened", opened)
+	}
+}
+
 // routelessBalancer is a balancer whose configurations have a single route or none, with one agent.
 type routelessBalancer struct {
 	t        *testing.T
