--- /dev/null
+++ b/review/standins-3/cases.go
@@ -0,0 +1,354 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// service is the name of the service of all cases.
+const service = "huvo11a"
+
+// deployment is a zone with balancers, and endpoints beside agents.
+type deployment struct {
+	w         *world
+	route     end
+	balancers []*machine
+	sides     []*machine
+	endpoints []*endpoint
+	client    *client
+}
+
+// deploy starts balancers, and agents with an endpoint each, and waits until they serve.
+func deploy(w *world, balancers, sides int, kind string, work time.Duration, size int) (*deployment, error) {
+	d := &deployment{w: w, route: w.configure(7, service, kind, 300)}
+	for i := range sides {
+		m, err := w.addMachine(fmt.Sprintf("side-%d", i+1), "muscat-a", "agent", service)
+		if err != nil {
+			return nil, err
+		}
+		d.sides = append(d.sides, m)
+	}
+	for i := range balancers {
+		m, err := w.addMachine(fmt.Sprintf("frontend-%d", i+1), "muscat-a", "balancer", "")
+		if err != nil {
+			return nil, err
+		}
+		d.balancers = append(d.balancers, m)
+	}
+	for _, m := range w.machines {
+		if err := m.start(); err != nil {
+			return nil, err
+		}
+	}
+	for i, m := range d.sides {
+		e, err := w.startEndpoint(m, fmt.Sprintf("i-%d", i+1), service, work, size)
+		if err != nil {
+			return nil, err
+		}
+		d.endpoints = append(d.endpoints, e)
+	}
+	var err error
+	if d.client, err = w.newClient(100); err != nil {
+		return nil, err
+	}
+	for _, m := range w.machines {
+		if !w.waitFor(10, m.isReady) {
+			return nil, errors.New(m.name + " is not ready")
+		}
+	}
+	w.sleep(3)
+	return d, nil
+}
+
+// openAll opens flows and returns those that opened.
+func (d *deployment) openAll(n int) []*flow {
+	var flows []*flow
+	for range n {
+		flows = append(flows, d.client.openFlow(d.route))
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.w.sleep(1.5)
+	var open []*flow
+	for _, f := range flows {
+		if f.isOpen() {
+			open = append(open, f)
+		}
+	}
+	return open
+}
+
+// holder returns the endpoint that holds a flow, nil if none does.
+func (d *deployment) holder(f *flow) *endpoint {
+	for _, e := range d.endpoints {
+		if e.isHolding(f.id) {
+			return e
+		}
+	}
+	return nil
+}
+
+// halfOpen: an agent freezes for 0.8 s while flows open, so that copies of their opening packets
+// reach a second endpoint. The agent and its endpoint are restarted as planned work later.
+func halfOpen(w *world) (bool, error) {
+	d, err := deploy(w, 1, 3, "non_idempotent", 60*time.Millisecond, 600)
+	if err != nil {
+		return false, err
+	}
+	slow := d.sides[0]
+	if w.trouble {
+		slow.signal(syscall.SIGSTOP)
+		time.AfterFunc(800*time.Millisecond, func() { slow.signal(syscall.SIGCONT) })
+	}
+	flows := d.openAll(30)
+	var elsewhere []*flow
+	for _, f := range flows {
+		if e := d.holder(f); e != nil && e != d.endpoints[0] {
+			elsewhere = append(elsewhere, f)
+			if d.endpoints[0].hasSeen(f.id) {
+				w.log("flow %s is open at %s; endpoint %s has its opening packet, too", f.id, e.id, d.endpoints[0].id)
+			}
+		}
+	}
+	w.log("%d flows are open at the other endpoints", len(elsewhere))
+	if len(elsewhere) == 0 {
+		return false, errors.New("no flow is open at another endpoint")
+	}
+	if askAll(elsewhere, 4*time.Second) < len(elsewhere) {
+		return false, errors.New("a flow is not served")
+	}
+	w.log("planned: the agent on %s is restarted", slow.name)
+	if err := slow.restart(); err != nil {
+		return false, err
+	}
+	w.sleep(6)
+	if askAll(elsewhere, 4*time.Second) < len(elsewhere) {
+		return false, errors.New("a flow is not served after the agent's restart")
+	}
+	w.log("planned: the endpoint on %s is restarted", slow.name)
+	old := d.endpoints[0]
+	old.drain()
+	if !w.waitFor(3, func() bool { return !old.ackOf("draining").IsZero() }) {
+		return false, errors.New("draining is not acknowledged")
+	}
+	w.sleep(3.5)
+	old.deregister(slow.control)
+	old.end("shut down")
+	w.sleep(1)
+	if d.endpoints[0], err = w.startEndpoint(slow, old.id, service, 60*time.Millisecond, 600); err != nil {
+		return false, err
+	}
+	w.sleep(4)
+	return d.checkResets(elsewhere), nil
+}
+
+// checkResets reports whether a flow got a reset of the system while its endpoint held it.
+func (d *deployment) checkResets(flows []*flow) bool {
+	broken := 0
+	for _, f := range flows {
+		e := d.holder(f)
+		for _, r := range f.allResets() {
+			if e != nil && e.openedAt(f.id).Before(r.at) {
+				broken++
+				d.w.log("FLOW: %s got a reset of the system at %.3f (seq %d, the client's last ack %d); endpoint %s holds it, and sent none",
+					f.id, r.at.Sub(d.w.started).Seconds(), r.seq, r.ack, e.id)
+			}
+		}
+	}
+	d.w.log("%d of %d flows got a reset while their endpoint held them", broken, len(flows))
+	return broken > 0
+}
+
+// askAll sends a request on each flow at once and returns how many are answered.
+func askAll(flows []*flow, budget time.Duration) int {
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for _, f := range flows {
+		wg.Go(func() {
+			if f.ask(budget) {
+				answered.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(answered.Load())
+}
+
+// delayProxy forwards connections to an address, and holds what they carry back for a time.
+type delayProxy struct {
+	l     net.Listener
+	to    string
+	delay time.Duration
+	wg    sync.WaitGroup
+}
+
+func newDelayProxy(w *world, to string, delay time.Duration) (*delayProxy, error) {
+	l, err := net.Listen("tcp4", net.JoinHostPort(w.ip(251), "0"))
+	if err != nil {
+		return nil, err
+	}
+	p := &delayProxy{l: l, to: to, delay: delay}
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(w, from)
+		}
+	}()
+	return p, nil
+}
+
+func (p *delayProxy) forward(w *world, from net.Conn) {
+	defer from.Close()
+	buf := make([]byte, 4096)
+	n, err := from.Read(buf)
+	if err != nil {
+		return
+	}
+	time.Sleep(p.delay)
+	to, err := net.Dial("tcp4", p.to)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	w.log("the network delivers %d bytes after %v", n, p.delay)
+	_, _ = to.Write(buf[:n])
+	_ = to.SetReadDeadline(time.Now().Add(time.Second))
+	_, _ = io.Copy(from, to)
+}
+
+// lateDeregistration: the deregistration of an endpoint's earlier lifetime arrives after the next
+// one, with the same id, has registered. The balancer is restarted as planned work later.
+func lateDeregistration(w *world) (bool, error) {
+	d, err := deploy(w, 1, 3, "non_idempotent", 60*time.Millisecond, 600)
+	if err != nil {
+		return false, err
+	}
+	side, old := d.sides[0], d.endpoints[0]
+	control := side.control
+	if w.trouble {
+		p, err := newDelayProxy(w, side.control, 5*time.Second)
+		if err != nil {
+			return false, err
+		}
+		defer p.l.Close()
+		control = p.l.Addr().String()
+	}
+	w.log("planned: the endpoint on %s is restarted", side.name)
+	old.drain()
+	if !w.waitFor(3, func() bool { return !old.ackOf("draining").IsZero() }) {
+		return false, errors.New("draining is not acknowledged")
+	}
+	w.sleep(3.5)
+	old.deregister(control)
+	w.sleep(1)
+	old.end("shut down")
+	w.sleep(0.3)
+	if d.endpoints[0], err = w.startEndpoint(side, old.id, service, 60*time.Millisecond, 600); err != nil {
+		return false, err
+	}
+	w.sleep(1)
+	var held []*flow
+	for _, f := range d.openAll(30) {
+		if d.holder(f) == d.endpoints[0] {
+			held = append(held, f)
+		}
+	}
+	if askAll(held, 4*time.Second) < len(held) {
+		return false, errors.New("a flow is not served")
+	}
+	w.log("%d flows are open at the new lifetime of endpoint %s", len(held), old.id)
+	if len(held) == 0 {
+		return false, errors.New("no flow is open at the new lifetime")
+	}
+	w.sleep(6)
+	w.log("record of %s in the store: %v", side.name, w.store.has("op-agents/"+side.name))
+	w.log("planned: the balancer is restarted")
+	if err := d.balancers[0].restart(); err != nil {
+		return false, err
+	}
+	w.sleep(8)
+	w.log("%d of %d requests on these flows are answered", askAll(held, 5*time.Second), len(held))
+	return d.checkResets(held), nil
+}
+
+// staleReset: a machine with its endpoint loses power and is back after 1.5 s.
+func staleReset(w *world) (bool, error) {
+	d, err := deploy(w, 1, 3, "idempotent", 50*time.Millisecond, 12_000)
+	if err != nil {
+		return false, err
+	}
+	saved := make(chan struct{}, 100)
+	w.store.mu.Lock()
+	w.store.onWrite = func(key string) {
+		if key == "saved-flows/side-1" {
+			saved <- struct{}{}
+		}
+	}
+	w.store.mu.Unlock()
+	flows := d.openAll(12)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, f := range flows {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				f.ask(2 * time.Second)
+			}
+		})
+	}
+	select {
+	case <-saved:
+	case <-time.After(20 * time.Second):
+		return false, errors.New("no flows were saved")
+	}
+	w.log("the agent on side-1 has saved its flows")
+	w.sleep(4)
+	close(stop)
+	wg.Wait()
+	var held []*flow
+	for _, f := range flows {
+		if d.holder(f) == d.endpoints[0] {
+			held = append(held, f)
+		}
+	}
+	if len(held) == 0 {
+		return false, errors.New("no flow is open at side-1")
+	}
+	w.log("%d flows are open at side-1, and idle", len(held))
+	if w.trouble {
+		w.log("side-1 and its endpoint lose power")
+		d.endpoints[0].end("power loss")
+		d.sides[0].kill()
+		w.sleep(1.5)
+		if err := d.sides[0].start(); err != nil {
+			return false, err
+		}
+		if d.endpoints[0], err = w.startEndpoint(d.sides[0], "i-9", service, 50*time.Millisecond, 12_000); err != nil {
+			return false, err
+		}
+	}
+	w.sleep(6)
+	broken := 0
+	for _, f := range flows {
+		for _, r := range f.allResets() {
+			if r.open && (r.distance > resetWindow || r.distance < -resetWindow) {
+				broken++
+				w.log("MIXED: %s got a reset whose seq %d is %d from the client's last ack %d", f.id, r.seq, r.distance, r.ack)
+			}
+		}
+	}
+	w.log("%d of %d flows got a packet that is no reset of the system, and that no endpoint wrote", broken, len(held))
+	return broken > 0, nil
+}
