--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -26,6 +26,26 @@
 
 // deploy starts balancers, and agents with an endpoint each, and waits until they serve.
 func deploy(w *world, balancers, sides int, kind string, work time.Duration, size int) (*deployment, error) {
+	return deployLate(w, balancers, sides, kind, work, size, 0)
+}
+
+// deployLate is deploy with a pause between the start of the first agent and those of the others.
+func deployLate(w *world, balancers, sides int, kind string, work time.Duration, size int, pause time.Duration) (*deployment, error) {
+	d, err := start(w, balancers, sides, kind, work, size, pause)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range w.machines {
+		if !w.waitFor(10, m.isReady) {
+			return nil, errors.New(m.name + " is not ready")
+		}
+	}
+	w.sleep(3)
+	return d, nil
+}
+
+// start starts the processes of deployLate and does not wait.
+func start(w *world, balancers, sides int, kind string, work time.Duration, size int, pause time.Duration) (*deployment, error) {
 	d := &deployment{w: w, route: w.configure(7, service, kind, 300)}
 	for i := range sides {
 		m, err := w.addMachine(fmt.Sprintf("side-%d", i+1), "muscat-a", "agent", service)
@@ -41,7 +61,10 @@
 		}
 		d.balancers = append(d.balancers, m)
 	}
-	for _, m := range w.machines {
+	for i, m := range w.machines {
+		if i == 1 {
+			time.Sleep(pause)
+		}
 		if err := m.start(); err != nil {
 			return nil, err
 		}
@@ -57,12 +80,6 @@
 	if d.client, err = w.newClient(100); err != nil {
 		return nil, err
 	}
-	for _, m := range w.machines {
-		if !w.waitFor(10, m.isReady) {
-			return nil, errors.New(m.name + " is not ready")
-		}
-	}
-	w.sleep(3)
 	return d, nil
 }
 
@@ -279,76 +296,161 @@
 	return d.checkResets(held), nil
 }
 
-// staleReset: a machine with its endpoint loses power and is back after 1.5 s.
-func staleReset(w *world) (bool, error) {
-	d, err := deploy(w, 1, 3, "idempotent", 50*time.Millisecond, 12_000)
+// lateCheckIn: a check-in of an endpoint that has ended arrives late, right after its agent was
+// restarted as planned work, and before the next one of the endpoint's successor.
+func lateCheckIn(w *world) (bool, error) {
+	d, err := deploy(w, 1, 3, "non_idempotent", 60*time.Millisecond, 600)
 	if err != nil {
 		return false, err
 	}
-	saved := make(chan struct{}, 100)
-	w.store.mu.Lock()
-	w.store.onWrite = func(key string) {
-		if key == "saved-flows/side-1" {
-			saved <- struct{}{}
+	side, old := d.sides[0], d.endpoints[0]
+	w.log("planned: the endpoint on %s is replaced in place", side.name)
+	old.drain()
+	if !w.waitFor(3, func() bool { return !old.ackOf("draining").IsZero() }) {
+		return false, errors.New("draining is not acknowledged")
+	}
+	w.sleep(3.5)
+	caught := old.nextCheckIn()
+	sent := time.Now()
+	w.log("endpoint %s sends check-in %d (born %d); delayed: %v", old.id, caught.seq, old.born, w.trouble)
+	if !old.deregister(side.control) {
+		return false, errors.New("the deregistration is not acknowledged")
+	}
+	old.end("shut down")
+	w.sleep(0.3)
+	next, err := w.startEndpoint(side, "i-9", service, 60*time.Millisecond, 600)
+	if err != nil {
+		return false, err
+	}
+	d.endpoints[0] = next
+	w.sleep(0.5)
+	var held []*flow
+	for _, f := range d.openAll(30) {
+		if d.holder(f) == next {
+			held = append(held, f)
 		}
 	}
-	w.store.mu.Unlock()
-	flows := d.openAll(12)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for _, f := range flows {
-		wg.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(50 * time.Millisecond):
-				}
-				f.ask(2 * time.Second)
-			}
-		})
+	if len(held) == 0 || askAll(held, 4*time.Second) < len(held) {
+		return false, errors.New("no flow is served at the new endpoint")
 	}
-	select {
-	case <-saved:
-	case <-time.After(20 * time.Second):
-		return false, errors.New("no flows were saved")
+	w.log("%d flows are open at endpoint %s, and idle", len(held), next.id)
+	acked := next.acks()
+	if !w.waitFor(2, func() bool { return next.acks() > acked }) {
+		return false, errors.New("no check-in is acknowledged")
 	}
-	w.log("the agent on side-1 has saved its flows")
-	w.sleep(4)
-	close(stop)
-	wg.Wait()
+	w.log("planned: the agent on %s is restarted", side.name)
+	if err := side.restart(); err != nil {
+		return false, err
+	}
+	if w.trouble {
+		w.sleep(0.15)
+		if !w.waitFor(1, func() bool { return caught.deliver(side.control) }) {
+			return false, errors.New("the late check-in did not arrive")
+		}
+		w.log("the network delivers the check-in of %s after %v", old.id, time.Since(sent).Round(time.Millisecond))
+	}
+	w.sleep(6)
+	resets := d.checkResets(held)
+	w.log("%d of %d further requests on these flows are answered", askAll(held, 5*time.Second), len(held))
+	return resets, nil
+}
+
+// expiredLeases: the store is down for 4.5 s and its leases expire. The balancers are restarted
+// around its return, as planned work.
+func expiredLeases(w *world) (bool, error) {
+	d, err := deployLate(w, 2, 3, "non_idempotent", 60*time.Millisecond, 600, 6500*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	side := d.sides[0]
+	time.Sleep(time.Until(w.started.Add(14 * time.Second)))
 	var held []*flow
-	for _, f := range flows {
+	for _, f := range d.openAll(90) {
 		if d.holder(f) == d.endpoints[0] {
 			held = append(held, f)
 		}
 	}
-	if len(held) == 0 {
-		return false, errors.New("no flow is open at side-1")
+	if len(held) == 0 || askAll(held, 4*time.Second) < len(held) {
+		return false, errors.New("no flow is served at side-1")
 	}
 	w.log("%d flows are open at side-1, and idle", len(held))
+	time.Sleep(time.Until(w.started.Add(25500 * time.Millisecond)))
+	if w.trouble {
+		w.log("the store is down, and its leases expire")
+		w.store.turnAway("", true)
+		w.store.expireLeases()
+	}
+	back := time.Now().Add(4500 * time.Millisecond)
+	var rolled sync.WaitGroup
+	for i, m := range d.balancers {
+		// A balancer forwards for 1.5 s after SIGTERM; the first is gone when the store is back.
+		time.Sleep(time.Until(back.Add(-1700*time.Millisecond + time.Duration(i)*800*time.Millisecond)))
+		rolled.Go(func() {
+			if err := m.restart(); err != nil {
+				w.log("restart: %v", err)
+			}
+		})
+	}
+	time.Sleep(time.Until(back))
+	if w.trouble {
+		w.log("the store is back")
+		w.store.turnAway("", false)
+	}
+	rolled.Wait()
+	time.Sleep(time.Until(back.Add(5100 * time.Millisecond)))
+	for _, m := range d.sides {
+		w.log("record of %s in the store: %v", m.name, w.store.has("op-agents/"+m.name))
+	}
+	var asked sync.WaitGroup
+	for _, f := range held {
+		w.sleep(0.04)
+		asked.Go(func() { f.ask(4 * time.Second) })
+	}
+	asked.Wait()
+	w.log("record of %s in the store: %v", side.name, w.store.has("op-agents/"+side.name))
+	return d.checkResets(held), nil
+}
+
+// unannounced: an endpoint crashes and starts again in place. Its agent is killed before the first
+// check-in of the new lifetime.
+func unannounced(w *world) (bool, error) {
+	d, err := deploy(w, 1, 3, "non_idempotent", 60*time.Millisecond, 600)
+	if err != nil {
+		return false, err
+	}
+	side := d.sides[0]
 	if w.trouble {
-		w.log("side-1 and its endpoint lose power")
-		d.endpoints[0].end("power loss")
-		d.sides[0].kill()
-		w.sleep(1.5)
-		if err := d.sides[0].start(); err != nil {
+		d.endpoints[0].end("crash")
+		w.sleep(0.3)
+		w.firstBeat = heartbeat
+		if d.endpoints[0], err = w.startEndpoint(side, "i-9", service, 60*time.Millisecond, 600); err != nil {
 			return false, err
 		}
-		if d.endpoints[0], err = w.startEndpoint(d.sides[0], "i-9", service, 50*time.Millisecond, 12_000); err != nil {
+	}
+	var flows []*flow
+	for range 40 {
+		flows = append(flows, d.client.openFlow(d.route))
+		w.sleep(0.01)
+	}
+	w.sleep(0.05)
+	if w.trouble {
+		side.kill()
+		w.sleep(0.2)
+		if err := side.start(); err != nil {
 			return false, err
 		}
 	}
-	w.sleep(6)
-	broken := 0
+	w.sleep(8)
+	var held []*flow
 	for _, f := range flows {
-		for _, r := range f.allResets() {
-			if r.open && (r.distance > resetWindow || r.distance < -resetWindow) {
-				broken++
-				w.log("MIXED: %s got a reset whose seq %d is %d from the client's last ack %d", f.id, r.seq, r.distance, r.ack)
-			}
+		if f.isOpen() && d.holder(f) == d.endpoints[0] {
+			held = append(held, f)
 		}
 	}
-	w.log("%d of %d flows got a packet that is no reset of the system, and that no endpoint wrote", broken, len(held))
-	return broken > 0, nil
+	if len(held) == 0 {
+		return false, errors.New("no flow is open at side-1")
+	}
+	w.log("%d flows are open at side-1", len(held))
+	w.log("%d of %d requests on these flows are answered", askAll(held, 5*time.Second), len(held))
+	return d.checkResets(held), nil
 }
--- a/review/standins-3/endpoint.go
+++ b/review/standins-3/endpoint.go
@@ -34,6 +34,7 @@
 	draining bool
 	ended    bool
 	acked    map[string]time.Time // first ack of each state
+	numAcked int
 	flows    map[flowID]*held
 	// opened is when a flow opened, runs counts the requests that ran.
 	opened map[flowID]time.Time
@@ -124,9 +125,10 @@
 
 // beats sends check-ins about every heartbeat interval, and again shortly after one without an ack.
 func (e *endpoint) beats(ctx context.Context) {
+	time.Sleep(e.w.firstBeat)
 	for ctx.Err() == nil {
 		wait := heartbeat
-		if !e.beat(ctx) {
+		if !e.beat() {
 			wait = 100 * time.Millisecond
 		}
 		select {
@@ -136,8 +138,16 @@
 	}
 }
 
-func (e *endpoint) beat(ctx context.Context) bool {
+// checkIn is a check-in as an endpoint has written it.
+type checkIn struct {
+	id, state string
+	seq       int64
+	body      []byte
+}
+
+func (e *endpoint) nextCheckIn() checkIn {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	state := "ready"
 	if e.draining {
 		state = "draining"
@@ -147,21 +157,37 @@
 		"service": e.service, "addr": e.m.app, "zone": e.m.zone, "version": "v1", "slots": 9, "state": state,
 		"warmup_left_ms": 0, "seq": e.seq, "born": e.born,
 	})
-	seq := e.seq
-	e.mu.Unlock()
-	status, err := post(ctx, "http://"+e.m.control+"/v1/Instances.Heartbeat/"+e.id, body)
-	if err != nil || status/100 != 2 {
+	return checkIn{e.id, state, e.seq, body}
+}
+
+// deliver delivers a check-in and reports whether it was acknowledged.
+func (c checkIn) deliver(control string) bool {
+	status, err := post(context.Background(), "http://"+control+"/v1/Instances.Heartbeat/"+c.id, c.body)
+	return err == nil && status/100 == 2
+}
+
+func (e *endpoint) beat() bool {
+	c := e.nextCheckIn()
+	if !c.deliver(e.m.control) {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.acked[state]; !ok {
-		e.acked[state] = time.Now()
-		e.w.log("endpoint %s on %s: check-in %d (%s) acknowledged", e.id, e.m.name, seq, state)
+	e.numAcked++
+	if _, ok := e.acked[c.state]; !ok {
+		e.acked[c.state] = time.Now()
+		e.w.log("endpoint %s on %s: check-in %d (%s) acknowledged", e.id, e.m.name, c.seq, c.state)
 	}
 	return true
 }
 
+// acks returns the number of acknowledged check-ins.
+func (e *endpoint) acks() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.numAcked
+}
+
 // drain reports that the endpoint leaves.
 func (e *endpoint) drain() {
 	e.mu.Lock()
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,9 +21,11 @@
 const maxRun = 110 * time.Second
 
 var cases = map[string]func(*world) (broken bool, err error){
-	"halfopen":   halfOpen,
-	"deregister": lateDeregistration,
-	"window":     staleReset,
+	"checkin":     lateCheckIn,
+	"deregister":  lateDeregistration,
+	"unannounced": unannounced,
+	"halfopen":    halfOpen,
+	"lapse":       expiredLeases,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -35,17 +35,14 @@
 	leases  map[int64]*lease
 	changed chan struct{}
 	refused map[string]bool
-	ports   map[string]string
 	servers []*http.Server
-	// onWrite is called with the key of each write.
-	onWrite func(key string)
 	w       *world
 }
 
 func newStore(w *world) *store {
 	s := &store{
 		rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
-		refused: map[string]bool{}, ports: map[string]string{}, w: w,
+		refused: map[string]bool{}, w: w,
 	}
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
@@ -77,7 +74,7 @@
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.leaseEnd)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refused := s.refused[machine]
+		refused := s.refused[machine] || s.refused[""]
 		s.mu.Unlock()
 		if refused {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -102,9 +99,6 @@
 	it := item{Key: key, Value: value, Rev: s.rev, Created: created, Lease: leaseID}
 	s.items[key] = it
 	s.record(it)
-	if s.onWrite != nil {
-		s.onWrite(key)
-	}
 }
 
 func (s *store) remove(key string) {
@@ -157,19 +151,19 @@
 	return ok
 }
 
-// turnAway makes the store turn a machine away, or serve it again.
+// turnAway makes the store turn a machine away, or all if the name is empty, or serve it again.
 func (s *store) turnAway(machine string, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refused[machine] = refused
 }
 
-// revoke ends the lease of a key.
-func (s *store) revoke(key string) {
+// expireLeases ends all leases, as they may expire while the store is down.
+func (s *store) expireLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if it, ok := s.items[key]; ok && it.Lease != 0 {
-		s.endLease(it.Lease)
+	for id := range s.leases {
+		s.endLease(id)
 	}
 }
 
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -34,6 +34,8 @@
 	store           *store
 	routers         *routers
 	machines        []*machine
+	// firstBeat is the time from an endpoint's start to its first check-in.
+	firstBeat time.Duration
 }
 
 // machine is a machine with one process of the product.
@@ -241,11 +243,10 @@
 
 // routers forward each packet to a balancer by the hash of its addresses over those in rotation.
 type routers struct {
-	w        *world
-	mu       sync.Mutex
-	missed   map[string]int
-	inUse    []*machine
-	excluded string
+	w      *world
+	mu     sync.Mutex
+	missed map[string]int
+	inUse  []*machine
 }
 
 func (r *routers) run() {
