--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,11 +21,11 @@
 const maxRun = 110 * time.Second
 
 var cases = map[string]func(*world) (broken bool, err error){
-	"checkin":     lateCheckIn,
-	"deregister":  lateDeregistration,
-	"unannounced": unannounced,
-	"halfopen":    halfOpen,
-	"lapse":       expiredLeases,
+	"checkin":      lateCheckIn,
+	"firstcheckin": lateFirst,
+	"unannounced":  unannounced,
+	"halfopen":     halfOpen,
+	"revision":     highRevision,
 }
 
 func main() { os.Exit(run()) }
