Flows opened before a target's first heartbeat are not reset

Cause: an agent took the first heartbeat of a target (number 1, or up to 3 with a record of another lifetime) for a proof that no earlier process had served it, and saved, handed over and ended flows under the lifetime of the last heartbeat. Both are unknown between a target's start and its first heartbeat. A planned stop of the agent in that window and a suspension reset flows too.

Change: a process knows all flows of a target if the target started while it ran, by an upper bound of its age; a record of another lifetime counts only if the host has started since it was written, which the record tells now; a hand-over counts for any target at the address; flows end only if they were last held before the next target can have started.

The virtual world's and the soak's targets wait up to an interval before their first heartbeat, and the soak has a drill for it.

--- a/internal/core/steering/completeness.go
+++ b/internal/core/steering/completeness.go
@@ -9,15 +9,13 @@
 const (
 	// incomplete means that flows of the incarnation may be unknown.
 	incomplete completeness = iota
-	// completeFromFirstHeartbeat means that the agent got the incarnation's first heartbeat.
-	completeFromFirstHeartbeat
-	// completeAsReplacement means that the incarnation replaced one that this process knew,
-	// and started while it ran.
-	completeAsReplacement
+	// completeFromStart means that the incarnation started while this process ran.
+	completeFromStart
 	// completeAsUnserved means that no earlier process has served the incarnation,
 	// according to the store.
 	completeAsUnserved
-	// completeByHandOver means that an earlier process handed over all flows.
+	// completeByHandOver means that an earlier process handed over all flows at the target's
+	// address, whichever incarnation they belong to.
 	completeByHandOver
 	// completeAfterAbsence means that no target ran when the agent looked.
 	completeAfterAbsence
@@ -25,7 +23,7 @@
 
 // String returns the reason for log lines.
 func (c completeness) String() string {
-	return [...]string{"none", "first heartbeat", "replacement", "never served", "hand-over", "no target ran"}[min(c, completeAfterAbsence)]
+	return [...]string{"none", "started beside the agent", "never served", "hand-over", "no target ran"}[min(c, completeAfterAbsence)]
 }
 
 // markComplete records that the agent knows all flows of its target.
--- a/internal/core/steering/completeness_test.go
+++ b/internal/core/steering/completeness_test.go
@@ -18,6 +18,14 @@
 	return &steering.PreviousRecord{Found: true, Record: steering.AgentRecord{Node: "a", Incarnation: incarnation}}
 }
 
+// recordBeforeHostStart returns what the store holds of an agent that last registered an
+// incarnation before the host's last start.
+func recordBeforeHostStart(incarnation int64) *steering.PreviousRecord {
+	e := recordOf(incarnation)
+	e.WrittenAt, e.WrittenTime = 10*time.Hour, time.Unix(990, 0)
+	return e
+}
+
 // newRestartedAgent returns the process of an agent that finds a record in the store.
 func newRestartedAgent(e *steering.PreviousRecord) *heartbeatAgent {
 	a := startAgentProcess(0)
@@ -74,7 +82,8 @@
 // searches for lost flows do not end.
 func TestTargetIsCompleteThoughItsFirstHeartbeatsWereLost(t *testing.T) {
 	for sequence := int64(1); sequence <= 3; sequence++ {
-		a := newRestartedAgent(recordOf(endedIncarnation))
+		a := startAgentProcess(time.Minute)
+		a.Step(a.now, recordBeforeHostStart(endedIncarnation))
 		a.sendHeartbeat(currentIncarnation, sequence)
 		if got := a.verdictOn(1); got != steering.VerdictAbsent {
 			t.Errorf("verdict %s on a flow of a target that was first heard at heartbeat %d, want absent", got, sequence)
@@ -145,8 +154,9 @@
 		a.sendHeartbeat(endedIncarnation, n+40)
 		a.advance(heartbeatInterval)
 	}
+	started := a.now.UnixMilli()
 	a.advance(6 * heartbeatInterval)
-	a.sendHeartbeat(currentIncarnation, 5)
+	a.sendHeartbeat(started, 5)
 	if got := a.verdictOn(1); got != steering.VerdictAbsent {
 		t.Errorf("verdict %s on a flow that the target can't hold, want absent", got)
 	}
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -69,9 +69,9 @@
 	singleRequest bool
 	// callerAck is the caller's last acknowledgement.
 	callerAck uint32
-	// lastResponse is when the target last sent a segment.
-	lastResponse time.Time
-	busy         bool // a request is running, queued or awaited
+	// lastHeld is when the target last sent a segment of the flow, or when the flow was saved.
+	lastHeld time.Time
+	busy     bool // a request is running, queued or awaited
 	// awaitingRequest is set from the opening of the flow until its first request
 	// arrives or firstRequestTimeout has passed.
 	awaitingRequest bool
@@ -157,15 +157,15 @@
 	return flowSection{byFlow: make(map[Flow]*localFlow), returnedAt: make(map[Flow]time.Time)}
 }
 
-// removeInactive removes the flows on which a target that ended has sent nothing since
-// the time, and returns the established ones. Others may already be flows of the next
-// incarnation.
+// removeInactive removes the flows that were last held before a time, when the target's next
+// incarnation can't have started, and returns the established ones. Others may already be flows
+// of that incarnation.
 func (s *flowSection) removeInactive(since time.Time) []SavedFlow {
 	s.returnedAt = make(map[Flow]time.Time)
 	s.unansweredSince = time.Time{}
 	var ended []SavedFlow
 	for f, local := range s.byFlow {
-		if local.lastResponse.After(since) {
+		if local.lastHeld.After(since) {
 			continue
 		}
 		if local.established && !local.closed {
@@ -188,10 +188,10 @@
 }
 
 // addSaved adds saved flows of which nothing newer is known.
-func (s *flowSection) addSaved(now time.Time, flows []SavedFlow) {
+func (s *flowSection) addSaved(now, lastHeld time.Time, flows []SavedFlow) {
 	for _, f := range flows {
 		if _, returned := s.returnedAt[f.Flow]; s.byFlow[f.Flow] == nil && !returned {
-			s.byFlow[f.Flow] = &localFlow{established: true, nonIdempotent: f.NonIdempotent, callerAck: f.Ack, lastSegment: now}
+			s.byFlow[f.Flow] = &localFlow{established: true, nonIdempotent: f.NonIdempotent, callerAck: f.Ack, lastSegment: now, lastHeld: lastHeld}
 		}
 	}
 }
@@ -265,7 +265,7 @@
 		s.byFlow[seg.Flow] = f
 		delete(s.returnedAt, seg.Flow)
 	}
-	f.lastSegment, f.lastResponse = now, now
+	f.lastSegment, f.lastHeld = now, now
 	progress := f.recordSequence(seg)
 	f.established = f.established || !seg.Flags.Has(FlagOpen)
 	if progress || seg.Len > 0 && f.mayBeCopy {
--- a/internal/core/steering/replacement.go
+++ b/internal/core/steering/replacement.go
@@ -95,7 +95,7 @@
 // sent a heartbeat, or returns it if it may still be alive.
 func (a *Agent) replaceTarget(now time.Time, h *Heartbeat) *replacedTarget {
 	t := &a.target
-	maxAge := a.maxTargetAge(h)
+	maxAge := a.maxTargetAge(now, h)
 	switch {
 	case !t.known:
 		return nil
--- a/internal/core/steering/replacement_test.go
+++ b/internal/core/steering/replacement_test.go
@@ -8,11 +8,8 @@
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 )
 
-// Start times of a live target and of a process that claims its place.
-const (
-	liveIncarnation  = 900_000
-	claimIncarnation = 990_000
-)
+// liveIncarnation is the start time of the live target.
+const liveIncarnation = 900_000
 
 // claimedAgent is an agent whose target holds an open flow, on which nothing was sent for some
 // seconds.
@@ -42,9 +39,10 @@
 	return &steering.Heartbeat{Instance: "i", Service: "s", Domain: "d", Incarnation: liveIncarnation, Sequence: sequence, Slots: 4}
 }
 
-// claim returns the heartbeat of another process that claims the place of the live target.
-func claim() *steering.Heartbeat {
-	return &steering.Heartbeat{Instance: "j", Service: "s", Domain: "d", Incarnation: claimIncarnation, Sequence: 1, Slots: 9}
+// claim returns the first heartbeat of another process that claims the place of the live
+// target and has just started.
+func (a *claimedAgent) claim() *steering.Heartbeat {
+	return &steering.Heartbeat{Instance: "j", Service: "s", Domain: "d", Incarnation: a.now.UnixMilli(), Sequence: 1, Slots: 9}
 }
 
 // handle passes an event to the agent and counts the resets.
@@ -107,7 +105,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newClaimedAgent()
-			h := claim()
+			h := a.claim()
 			change(h)
 			if a.CheckHeartbeat(a.now, h) == nil {
 				t.Error("the heartbeat is accepted")
@@ -135,7 +133,7 @@
 		for _, claims := range []int{1, 8} {
 			t.Run(name, func(t *testing.T) {
 				a := newClaimedAgent()
-				h := claim()
+				h := a.claim()
 				change(h)
 				for range claims {
 					a.handle(h)
@@ -161,7 +159,7 @@
 	a.handle(recordOf(liveIncarnation))
 	a.beat()
 	a.run(5*time.Second, true)
-	a.handle(claim())
+	a.handle(a.claim())
 	if got := a.verdictOn(2); got != steering.VerdictUnsure {
 		t.Errorf("verdict %s on a flow that an earlier process may have opened, want unsure", got)
 	}
@@ -174,7 +172,7 @@
 		a := newClaimedAgent()
 		a.beat()
 		a.run(silence, false)
-		a.handle(claim())
+		a.handle(a.claim())
 		if got := a.pingForRefusal(); got != steering.NotRefused {
 			t.Errorf("%v after a heartbeat of the target before, the restarted one gets no flows: %s", silence, got)
 		}
@@ -190,7 +188,7 @@
 func TestSuspendedAgentDoesNotTakeItsTargetForSilent(t *testing.T) {
 	a := newClaimedAgent()
 	a.now = a.now.Add(4 * time.Second)
-	a.handle(claim())
+	a.handle(a.claim())
 	a.run(100*time.Millisecond, false)
 	a.beat()
 	a.requireFlow(t)
@@ -203,7 +201,7 @@
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 1}, Address: routeAddress}
 	a.handle(&steering.SavedFlows{Incarnation: liveIncarnation, Flows: []steering.SavedFlow{{Flow: flow}}})
 	a.handle(recordOf(liveIncarnation))
-	a.handle(claim())
+	a.handle(a.claim())
 	a.run(heartbeatInterval/2, false)
 	a.beat()
 	a.requireFlow(t)
@@ -214,11 +212,12 @@
 // A target turns out to live after another process has claimed its place and was registered:
 // the entry in the store names both, so that no later process takes one for unserved.
 func TestNoIncarnationOfAnEarlierProcessCountsAsUnserved(t *testing.T) {
+	const other = liveIncarnation + 1
 	e := recordOf(liveIncarnation)
-	e.Others = []int64{claimIncarnation}
+	e.Others = []int64{other}
 	a := startAgentProcess(time.Hour)
 	a.Step(a.now, e)
-	a.sendHeartbeat(claimIncarnation, 3)
+	a.sendHeartbeat(other, 3)
 	if got := a.verdictOn(1); got != steering.VerdictUnsure {
 		t.Errorf("verdict %s on a flow that an earlier process may have opened, want unsure", got)
 	}
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -95,13 +95,14 @@
 	return s.Final && s.SavedAt > 0 && age >= 0 && age < handOverValidity
 }
 
-// hostRestartedSince reports whether the host has restarted since flows were saved, so that
-// their target has ended: the host's clock began anew, while the time of day went on.
-func (a *Agent) hostRestartedSince(s *SavedFlows) bool {
-	if s.SavedAt <= 0 || a.identity.StartedAt <= 0 {
+// hostRestartedSince reports whether the host has restarted since a time of its clock, at
+// which it had a time of day: its clock began anew, while the time of day went on. All
+// processes of that time have ended then. It is false if the time is unknown.
+func (a *Agent) hostRestartedSince(at time.Duration, timeOfDay time.Time) bool {
+	if at <= 0 || a.identity.StartedAt <= 0 {
 		return false
 	}
-	elapsed, elapsedOfDay := a.identity.StartedAt-s.SavedAt, a.startedAt.Sub(s.SavedTime)
+	elapsed, elapsedOfDay := a.identity.StartedAt-at, a.startedAt.Sub(timeOfDay)
 	return elapsed < 0 || (elapsed-elapsedOfDay).Abs() > maxTimeStep
 }
 
@@ -148,13 +149,13 @@
 	a.target.savedFlows = s
 	a.report(Report{Text: "Saved flows were read.", Node: a.identity.Node, Why: savedState(s), Count: len(s.Flows), Incarnation: s.Incarnation})
 	if !a.target.known {
-		a.flows.addSaved(now, s.Flows)
+		a.flows.addSaved(now, a.lastHeld(s), s.Flows)
 		a.markHandedOver(s)
 	}
 	a.applySavedFlows(now)
 }
 
-// applySavedFlows adds the saved flows if they are of the target's current incarnation,
+// applySavedFlows adds the saved flows if they may be of the target's current incarnation,
 // and resets them if they are of an earlier one that has ended.
 func (a *Agent) applySavedFlows(now time.Time) {
 	s := a.target.savedFlows
@@ -164,17 +165,34 @@
 	a.target.savedFlows = nil
 	switch {
 	case s.Incarnation == a.target.incarnation:
-		a.flows.addSaved(now, s.Flows)
+		a.flows.addSaved(now, a.lastHeld(s), s.Flows)
 		a.markHandedOver(s)
-	case s.Incarnation < a.target.incarnation:
+	case s.Incarnation < a.target.incarnation && a.targetStartedSince(s):
 		a.resetFlows(a.flows.removeSaved(s.Flows))
+	case s.Incarnation < a.target.incarnation:
+		// Some may have been opened at the present incarnation before its first heartbeat.
+		a.flows.addSaved(now, a.lastHeld(s), s.Flows)
 	}
 }
 
+// lastHeld returns the last time at which a target may have held saved flows.
+func (a *Agent) lastHeld(s *SavedFlows) time.Time {
+	if s.SavedAt <= 0 {
+		return a.startedAt
+	}
+	return a.startedAt.Add(min(s.SavedAt-a.identity.StartedAt, 0))
+}
+
+// targetStartedSince reports whether the present target has started since flows were saved,
+// and so holds none of them.
+func (a *Agent) targetStartedSince(s *SavedFlows) bool {
+	return a.hostRestartedSince(s.SavedAt, s.SavedTime) || a.lastHeld(s).Before(a.target.notBefore)
+}
+
 // savedTargetEnded reports whether the target whose flows were saved has ended, if another
 // one has sent a heartbeat.
 func (a *Agent) savedTargetEnded(now time.Time, s *SavedFlows) bool {
-	return a.isHeartbeatOverdue(now, a.startedAt) || a.hostRestartedSince(s)
+	return a.isHeartbeatOverdue(now, a.startedAt) || a.hostRestartedSince(s.SavedAt, s.SavedTime)
 }
 
 // savedState describes saved flows for log lines.
--- a/internal/core/steering/schedule_test.go
+++ b/internal/core/steering/schedule_test.go
@@ -501,7 +501,7 @@
 	a.keep(feedDemand, 10)
 	a.step(&steering.TargetDeregistered{Instance: "i"})
 	a.advance(3 * time.Minute)
-	a.step(&steering.Heartbeat{Instance: "j", Service: "s", Domain: "d", Incarnation: 8, Sequence: 1, Slots: queueSlots})
+	a.step(&steering.Heartbeat{Instance: "j", Service: "s", Domain: "d", Incarnation: a.now.UnixMilli(), Sequence: 1, Slots: queueSlots})
 	a.requireDelivered()
 	a.requireAhead(0, 0, 0, 0)
 	a.requireCounts(1, 0, 1)
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -458,6 +458,7 @@
 	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
 		w, callers := newSteadyWorldOf(rt, rapid.Uint64().Draw(rt, "seed"), demand, 3, agents, 30)
+		w.firstHeartbeatDelay = heartbeatInterval * time.Duration(rapid.IntRange(0, 10).Draw(rt, "first heartbeat")) / 10
 		w.lossRate = rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(rt, "loss")
 		for range rapid.IntRange(1, 12).Draw(rt, "faults") {
 			randomFault(rt, w)
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -28,10 +28,6 @@
 	handOverValidity = 800 * time.Millisecond
 )
 
-// firstSequence is the sequence number of an incarnation's first heartbeat. No other process
-// of the agent can have served a target that sends it.
-const firstSequence = 1
-
 // maxHeartbeatDelay bounds the delay of a heartbeat.
 const maxHeartbeatDelay = time.Second
 
@@ -63,6 +59,10 @@
 type PreviousRecord struct {
 	Found  bool
 	Record AgentRecord
+	// WrittenAt is when the record was written, by the clock of AgentIdentity.StartedAt, 0 if
+	// unknown. WrittenTime is the time of day then.
+	WrittenAt   time.Duration
+	WrittenTime time.Time
 	// Others are the incarnations that the earlier process had served before the recorded
 	// one: a target may turn out to live after another process has claimed its place.
 	Others     []int64
@@ -73,18 +73,34 @@
 type storedRecord struct {
 	// known is set once the store was read, incomplete as in PreviousRecord.
 	known, incomplete bool
+	// found reports that an earlier process has left a record.
+	found bool
 	// incarnation is the target incarnation that was last served, 0 if none; others are
 	// those that its process had served before.
 	incarnation int64
 	others      []int64
+	// sinceHostStart reports that an earlier process may have written the record since the
+	// host's last start.
+	sinceHostStart bool
 }
 
-// neverServed reports whether no earlier process can have served the incarnation whose
-// first heartbeat at this process had a sequence number: the record is of another one, and
-// none was served without a record.
-func (r storedRecord) neverServed(incarnation, firstSequence int64) bool {
-	return r.known && !r.incomplete && r.incarnation != incarnation && !slices.Contains(r.others, incarnation) &&
-		firstSequence <= unrecordedSequence
+// neverServed reports whether no process before the one that started at a time can have
+// opened flows at the incarnation whose first heartbeat at that process had a sequence number:
+// none served it without a record, and the processes that wrote records ended with the host's
+// last run. A process that served another incarnation during the present run may have opened
+// flows at this one before its first heartbeat, as both have the same address.
+func (r storedRecord) neverServed(incarnation, firstSequence int64, startedAt time.Time) bool {
+	switch {
+	case !r.known || firstSequence > unrecordedSequence:
+		return false
+	case !r.found && r.incomplete:
+		// On a host that was added after the store was restored there was no earlier
+		// process. One whose record was lost has ended before this process started.
+		return !time.UnixMilli(incarnation).Before(startedAt)
+	case !r.found:
+		return true
+	}
+	return !r.incomplete && !r.sinceHostStart && r.incarnation != incarnation && !slices.Contains(r.others, incarnation)
 }
 
 // RecordStored reports that the record for a target incarnation is in the store.
@@ -106,7 +122,9 @@
 	incarnation  int64
 	sequence     int64
 	// firstSequence is that of the incarnation's first heartbeat at this process.
-	firstSequence     int64
+	firstSequence int64
+	// notBefore is a time before which the incarnation has not started.
+	notBefore         time.Time
 	slots             int
 	firstSeen         time.Time
 	lastHeartbeat     time.Time
@@ -215,7 +233,8 @@
 	replaced := a.replaceTarget(now, h)
 	*t = targetSection{
 		known: true, instance: h.Instance, name: h.Service, service: ServiceIDOf(h.Service),
-		incarnation: h.Incarnation, firstSequence: h.Sequence, firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
+		incarnation: h.Incarnation, firstSequence: h.Sequence, notBefore: now.Add(-a.maxTargetAge(now, h)),
+		firstSeen: now, heartbeatInterval: a.identity.HeartbeatInterval,
 		writtenIncarnation: t.writtenIncarnation, previous: t.previous, savedFlows: t.savedFlows, replaced: replaced,
 	}
 	a.restartHealth()
@@ -225,10 +244,13 @@
 	a.registerRecord()
 }
 
-// maxTargetAge bounds the age of the process of the target that sent a heartbeat, by the
-// heartbeat's sequence number.
-func (a *Agent) maxTargetAge(h *Heartbeat) time.Duration {
-	return time.Duration(h.Sequence)*a.identity.HeartbeatInterval + maxHeartbeatDelay
+// maxTargetAge bounds the age of the process of the target that sent a heartbeat. The
+// heartbeat's sequence number, which may count from 0, bounds it unless the heartbeat was
+// delayed for longer or the agent was suspended; the start time bounds it unless the host's
+// clock was set back since.
+func (a *Agent) maxTargetAge(now time.Time, h *Heartbeat) time.Duration {
+	bySequence := time.Duration(h.Sequence+1)*a.identity.HeartbeatInterval + maxHeartbeatDelay
+	return max(bySequence, now.Sub(time.UnixMilli(h.Incarnation)))
 }
 
 // completenessOf returns why the agent knows all flows of an incarnation from its heartbeat
@@ -236,13 +258,11 @@
 func (a *Agent) completenessOf(now time.Time, h *Heartbeat) completeness {
 	t := &a.target
 	switch {
-	case t.known && now.Sub(a.startedAt) >= a.maxTargetAge(h):
-		return completeAsReplacement
-	case t.absent:
-		return t.complete
-	case h.Sequence == firstSequence:
-		return completeFromFirstHeartbeat
-	case t.previous.neverServed(h.Incarnation, h.Sequence):
+	case now.Sub(a.startedAt) >= a.maxTargetAge(now, h):
+		return completeFromStart
+	case t.absent, !t.known && t.complete == completeByHandOver:
+		return t.complete // of any process at the target's address
+	case t.previous.neverServed(h.Incarnation, h.Sequence, a.startedAt):
 		return completeAsUnserved
 	}
 	return incomplete
@@ -254,15 +274,16 @@
 	if t.previous.known {
 		return
 	}
-	t.previous = storedRecord{known: true, incomplete: e.Incomplete}
+	t.previous = storedRecord{known: true, incomplete: e.Incomplete, found: e.Found}
 	if e.Found {
 		t.previous.incarnation, t.previous.others = e.Record.Incarnation, e.Others
+		t.previous.sinceHostStart = !a.hostRestartedSince(e.WrittenAt, e.WrittenTime)
 	}
 	a.report(Report{Text: "Record of the earlier process is known.", Node: a.identity.Node, Why: recordState(e), Incarnation: e.Record.Incarnation})
 	if !t.known {
 		return
 	}
-	if t.previous.neverServed(t.incarnation, t.firstSequence) {
+	if t.previous.neverServed(t.incarnation, t.firstSequence, a.startedAt) {
 		a.markComplete(completeAsUnserved)
 	}
 	a.registerRecord()
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -48,8 +48,11 @@
 	agents    []*agentNode
 	callers   map[steering.Flow]*caller
 	records   map[string]steering.AgentRecord
+	// firstHeartbeatDelay is how long targets wait before their first heartbeat, up to
+	// heartbeatInterval.
+	firstHeartbeatDelay time.Duration
 	// served holds the records as last written, which outlive them.
-	served map[string]steering.AgentRecord
+	served map[string]steering.PreviousRecord
 	saved  map[string]savedFlows
 	// registrations counts how often an agent's record was written.
 	registrations map[string]int
@@ -190,7 +193,7 @@
 func newWorld(t rapid.TB, seed uint64) *world {
 	return &world{
 		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
-		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord), served: make(map[string]steering.AgentRecord),
+		callers: make(map[steering.Flow]*caller), records: make(map[string]steering.AgentRecord), served: make(map[string]steering.PreviousRecord),
 		saved: make(map[string]savedFlows), registrations: make(map[string]int), domainsOut: make(map[string]bool), revision: 1, version: 1, applyTimeout: applyTimeout,
 	}
 }
@@ -328,13 +331,13 @@
 		w.schedule(storeRetryInterval, func() { w.readPrevious(a, incarnation) })
 		return
 	}
-	r, found := w.served[a.name]
+	previous := w.served[a.name]
 	if s, ok := w.saved[a.name]; ok {
 		flows := s.SavedFlows
 		flows.Final = flows.Final && s.registration == w.registrations[a.name]
 		w.stepAgent(a, &flows)
 	}
-	w.stepAgent(a, &steering.PreviousRecord{Found: found, Record: r})
+	w.stepAgent(a, &previous)
 }
 
 func (w *world) tickAgent(a *agentNode, incarnation int) {
@@ -354,10 +357,16 @@
 	}
 }
 
-// startTarget starts a target process without flows.
+// startTarget starts a target process without flows, which sends its first heartbeat after
+// firstHeartbeatDelay.
 func (w *world) startTarget(a *agentNode) {
-	a.target = &target{up: true, incarnation: w.now.UnixMilli(), flows: make(map[steering.Flow]*targetFlow)}
-	w.sendHeartbeats(a, a.target)
+	started := &target{up: true, incarnation: w.now.UnixMilli(), flows: make(map[steering.Flow]*targetFlow)}
+	a.target = started
+	if w.firstHeartbeatDelay == 0 {
+		w.sendHeartbeats(a, started)
+		return
+	}
+	w.schedule(w.firstHeartbeatDelay, func() { w.sendHeartbeats(a, started) })
 }
 
 func (w *world) sendHeartbeats(a *agentNode, t *target) {
@@ -453,7 +462,8 @@
 		})
 		return
 	}
-	w.records[a.name], w.served[a.name] = r, r
+	w.records[a.name] = r
+	w.served[a.name] = steering.PreviousRecord{Found: true, Record: r, WrittenAt: w.hostTime(a), WrittenTime: w.now}
 	w.registrations[a.name]++
 	w.notifyStoreChange()
 	if a.up {
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -62,7 +62,7 @@
 	a.registrar = &registrar{
 		store: p.Store, node: string(s.Node), key: p.AgentPrefix + string(s.Node), served: entry{key: p.ServedIncarnationPrefix + string(s.Node)}, leaseTTL: s.Store.Lease,
 		desired: make(chan *steering.AgentRecord, 1), verify: newSignal(), save: newSignal(),
-		notify: a.handleEvent, warn: a.warn, info: a.info,
+		notify: a.handleEvent, warn: a.warn, info: a.info, hostTime: a.hostTime,
 	}
 	a.registrar.saver = &saver{
 		store: p.Store, entry: entry{key: p.SavedFlowPrefix + string(s.Node)},
@@ -71,6 +71,15 @@
 	return a
 }
 
+// hostTime returns the time by the host's clock, 0 if that can't be read.
+func (a *Agent) hostTime() time.Duration {
+	t, err := hostClock()
+	if err != nil {
+		return 0 // reported when the agent started
+	}
+	return t
+}
+
 func (a *Agent) currentFlows() steering.SavedFlows {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -162,7 +162,7 @@
 			defer mu.Unlock()
 			*events = append(*events, e)
 		},
-		warn: func(string, error) {}, info: func(string, ...any) {},
+		warn: func(string, error) {}, info: func(string, ...any) {}, hostTime: func() time.Duration { return time.Hour },
 	}
 	r.saver = &saver{
 		store: s, entry: entry{key: "saved-flows/a"}, currentFlows: func() steering.SavedFlows { return steering.SavedFlows{Incarnation: 7} },
@@ -320,7 +320,7 @@
 func TestFinalFlowsAreRestoredOnce(t *testing.T) {
 	s := newFakeStore()
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
-	served, err := encodeServed(&exampleRecord, nil, store.FirstEra)
+	served, err := encodeServed(&exampleRecord, nil, store.FirstEra, time.Hour, time.Unix(1000, 0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/store"
@@ -30,21 +31,32 @@
 	Era uint64 `json:"era,omitempty"`
 	// Others are the incarnations that the agent's process has served before.
 	Others []int64 `json:"others,omitempty"`
+	// WrittenAtNs is steering.PreviousRecord.WrittenAt, in nanoseconds, WrittenTimeMs is
+	// WrittenTime, in Unix milliseconds; 0 if an earlier version wrote the document.
+	WrittenAtNs   int64 `json:"written_at_ns,omitempty"`
+	WrittenTimeMs int64 `json:"written_time_ms,omitempty"`
 }
 
-func encodeServed(r *steering.AgentRecord, others []int64, era uint64) ([]byte, error) {
-	return json.Marshal(servedDocument{recordDocument(*r), era, others})
+func encodeServed(r *steering.AgentRecord, others []int64, era uint64, writtenAt time.Duration, writtenTime time.Time) ([]byte, error) {
+	return json.Marshal(servedDocument{recordDocument(*r), era, others, writtenAt.Nanoseconds(), writtenTime.UnixMilli()})
 }
 
-// decodeServed decodes what a node has served and the era in which that was written.
-func decodeServed(node string, value []byte) (record steering.AgentRecord, others []int64, era uint64, err error) {
-	record, err = decodeRecord(node, value)
+// decodeServed decodes what a node has served, from an entry that was last changed in an era of
+// the store. It is incomplete if the document is of an earlier era: the store may have lost a
+// later one.
+func decodeServed(node string, value []byte, era uint64) (*steering.PreviousRecord, error) {
+	record, err := decodeRecord(node, value)
 	if err != nil {
-		return record, nil, 0, err
+		return nil, err
 	}
 	var doc servedDocument
-	err = json.Unmarshal(value, &doc)
-	return record, doc.Others, max(doc.Era, store.FirstEra), err
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return nil, err
+	}
+	return &steering.PreviousRecord{
+		Found: true, Record: record, Others: doc.Others, Incomplete: max(doc.Era, store.FirstEra) != era,
+		WrittenAt: time.Duration(doc.WrittenAtNs), WrittenTime: time.UnixMilli(doc.WrittenTimeMs),
+	}, nil
 }
 
 var (
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -36,6 +36,8 @@
 	notify       func(steering.Event)
 	warn         func(string, error)
 	info         func(string, ...any)
+	// hostTime returns the time by the clock that the host's processes share, 0 if unknown.
+	hostTime func() time.Duration
 
 	lease store.LeaseID
 	// leaseEra is the era of the store in which the lease was granted.
@@ -113,13 +115,13 @@
 	if !found {
 		return &steering.PreviousRecord{Incomplete: r.store.Era() > store.FirstEra}
 	}
-	record, others, era, err := decodeServed(r.node, kv.Value)
+	previous, err := decodeServed(r.node, kv.Value, kv.ModRevision.Era())
 	if err != nil {
 		// Some incarnation was served, but it is unknown which.
 		r.warn("The agent's own record is malformed.", err)
 		return &steering.PreviousRecord{Found: true, Incomplete: true}
 	}
-	return &steering.PreviousRecord{Found: true, Record: record, Others: others, Incomplete: era != kv.ModRevision.Era()}
+	return previous
 }
 
 // storeDesired writes the record, or deletes the stored one if none is desired. It
@@ -162,7 +164,7 @@
 		return err
 	}
 	err = writeIfUnchanged(ctx, r.store, []*entry{&r.served}, func() ([]store.Op, error) {
-		served, err := encodeServed(r.record, r.servedBefore(), r.store.Era())
+		served, err := encodeServed(r.record, r.servedBefore(), r.store.Era(), r.hostTime(), time.Now())
 		return []store.Op{store.Put{Key: r.key, Value: value, Lease: r.lease}, store.Put{Key: r.served.key, Value: served}}, err
 	})
 	if err == nil && r.store.Era() > r.leaseEra {
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -170,14 +170,22 @@
 }
 
 // queryFlow returns the verdict on a flow of an agent that has got the events and then the
-// heartbeat of its target with a sequence number.
+// heartbeat of the recorded target with a sequence number.
 func queryFlow(events []steering.Event, sequence int64) steering.Verdict {
+	return queryFlowOf(events, exampleRecord.Incarnation, sequence)
+}
+
+// queriedAgentStart is when the agents of queryFlow start.
+var queriedAgentStart = time.Unix(1000, 0)
+
+// queryFlowOf is queryFlow for a target of another incarnation.
+func queryFlowOf(events []steering.Event, incarnation, sequence int64) steering.Verdict {
 	agent := steering.NewAgent(steering.AgentIdentity{Service: "s", HeartbeatInterval: time.Second})
-	now := time.Unix(1000, 0)
+	now := queriedAgentStart
 	for _, e := range events {
 		agent.Step(now, e)
 	}
-	agent.Step(now, &steering.Heartbeat{Instance: "t", Service: "s", Incarnation: exampleRecord.Incarnation, Sequence: sequence})
+	agent.Step(now, &steering.Heartbeat{Instance: "t", Service: "s", Incarnation: incarnation, Sequence: sequence})
 	from := netip.MustParseAddrPort("10.0.0.2:7000")
 	effects := agent.Step(now, &steering.MessageReceived{From: from, Message: steering.Message{Kind: steering.MessageQuery, Flow: exampleFlow}})
 	return effects[0].Message.Verdict
@@ -198,15 +206,22 @@
 	}
 }
 
-// A target that starts after the store was restored has no entry either. Its first
-// heartbeat proves that no other process has served it.
-func TestFirstHeartbeatProvesThatNoProcessServedTheTarget(t *testing.T) {
+// A target that starts on a new host after the store was restored has no entry either. If it
+// started after the agent's process, its first heartbeat proves that no other process has
+// served it.
+func TestFirstHeartbeatAfterARestoreProvesThatNoProcessServedANewTarget(t *testing.T) {
 	s := serveStore(t)
 	s.Restore(s.Copy())
 	a := newRestoredAgent(s)
 	a.readPrevious(context.Background())
-	if got := queryFlow(a.events, 1); got != steering.VerdictAbsent {
-		t.Errorf("verdict is %v for a flow that the target can't hold", got)
+	started := queriedAgentStart.UnixMilli()
+	for incarnation, want := range map[int64]steering.Verdict{
+		started + 50: steering.VerdictAbsent,
+		started - 50: steering.VerdictUnsure,
+	} {
+		if got := queryFlowOf(a.events, incarnation, 1); got != want {
+			t.Errorf("verdict is %v for a flow at a target that started %d ms after the agent, want %v", got, incarnation-started, want)
+		}
 	}
 }
 
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -78,6 +78,7 @@
 	drills    *rand.Rand // the same for drills of the store
 	outages   *rand.Rand // the same for outages of the store around restarts
 	overloads *rand.Rand // the same for overload and targets' health
+	beats     *rand.Rand // the same for targets' first heartbeats
 	workload  workload
 	posts     postLog
 	// crowded is set while there is a crowd.
@@ -109,7 +110,7 @@
 	r := &run{ctx: ctx, options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		wide: rand.New(rand.NewPCG(o.Seed, 2)), links: rand.New(rand.NewPCG(o.Seed, 3)),
 		drills: rand.New(rand.NewPCG(o.Seed, 4)), outages: rand.New(rand.NewPCG(o.Seed, 5)),
-		overloads: rand.New(rand.NewPCG(o.Seed, 6)), began: time.Now(), store: platformtest.NewStore()}
+		overloads: rand.New(rand.NewPCG(o.Seed, 6)), beats: rand.New(rand.NewPCG(o.Seed, 7)), began: time.Now(), store: platformtest.NewStore()}
 	r.workload = drawWorkload(r.overloads, &o)
 	r.note("workload %+v", r.workload)
 	defer r.end()
@@ -138,6 +139,9 @@
 		if o.Breadth <= Undeclared && r.outages.IntN(outageEvery) == 0 {
 			r.outage()
 		}
+		if o.Breadth == All && r.beats.IntN(unannouncedEvery) == 0 {
+			r.unannounced()
+		}
 		r.sleep(time.Duration(r.rand.IntN(maxPause)) * time.Millisecond)
 	}
 	r.heal()
@@ -210,7 +214,7 @@
 		if err := h.start(); err != nil {
 			return err
 		}
-		if h.target, err = startTarget(r, h); err != nil {
+		if h.target, err = startTarget(r, h, r.firstBeat()); err != nil {
 			return err
 		}
 	}
@@ -296,8 +300,12 @@
 }
 
 // restartTarget starts a target in place of one that has ended.
-func (r *run) restartTarget(a *agentHost) {
-	next, err := startTarget(r, a)
+func (r *run) restartTarget(a *agentHost) { r.startTargetAfter(a, r.firstBeat()) }
+
+// startTargetAfter starts a target in place of one that has ended. It sends its first
+// heartbeat after a time.
+func (r *run) startTargetAfter(a *agentHost, firstBeat time.Duration) {
+	next, err := startTarget(r, a, firstBeat)
 	if err != nil {
 		r.violate("the target of %s does not start: %v", a.name, err)
 		return
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -25,6 +25,9 @@
 type target struct {
 	host *agentHost
 	born int64
+	// firstBeat is how long after its start the target sends its first heartbeat, up to an
+	// interval.
+	firstBeat time.Duration
 
 	mu       sync.Mutex
 	flows    map[steering.Flow]*held
@@ -71,13 +74,14 @@
 	answer  []byte
 }
 
-// startTarget starts a target's process beside an agent.
-func startTarget(r *run, h *agentHost) (*target, error) {
+// startTarget starts a target's process beside an agent. It sends its first heartbeat after a
+// time, up to an interval.
+func startTarget(r *run, h *agentHost, firstBeat time.Duration) (*target, error) {
 	conn, err := net.ListenUDP("udp4", udpAddr(h.ip, portTarget))
 	if err != nil {
 		return nil, err
 	}
-	t := &target{run: r, slotsChanged: time.Now(), host: h, born: time.Now().Add(h.clock).UnixMilli(), flows: make(map[steering.Flow]*held), conn: conn}
+	t := &target{run: r, firstBeat: firstBeat, slotsChanged: time.Now(), host: h, born: time.Now().Add(h.clock).UnixMilli(), flows: make(map[steering.Flow]*held), conn: conn}
 	go t.read()
 	go t.beat()
 	return t, nil
@@ -330,6 +334,7 @@
 		StartedAtMs: t.born,
 	}
 	agent := fmt.Sprintf("%s:%d", t.host.ip, portAnnounce)
+	time.Sleep(t.firstBeat)
 	for seq := 1; t.alive(); seq++ {
 		t.mu.Lock()
 		draining := t.draining
