--- a/internal/configstore/client.go
+++ b/internal/configstore/client.go
@@ -28,7 +28,7 @@
 }
 
 // position is a version and a revision of the store at which it was current;
-// revision 0 means unknown.
+// the zero revision means unknown.
 type position struct {
 	version  uint64
 	revision store.Revision
@@ -73,15 +73,13 @@
 // it are not read.
 func (c *Client) readSince(ctx context.Context, from position) (Snapshot, position, error) {
 	objects := store.Prefix(c.keys.objects())
-	if from.revision > 0 {
-		objects.MinModRevision = from.revision + 1
-	}
+	objects.After = from.revision
 	version := store.Range{Key: c.keys.version()}
 	result, err := c.kv.Txn(ctx, store.Txn{Ops: []store.Op{version, objects}})
 	if err != nil {
 		return Snapshot{}, position{}, err
 	}
-	if result.Revision < from.revision {
+	if result.Revision.Before(from.revision) {
 		// The store was restored to an older state, so the revision filter may
 		// have excluded changed objects.
 		return c.readSince(ctx, position{version: from.version})
--- a/internal/configstore/state.go
+++ b/internal/configstore/state.go
@@ -10,7 +10,7 @@
 // transaction.
 type state struct {
 	version uint64
-	// versionRevision is the revision of the version key, 0 if it does not
+	// versionRevision is the revision of the version key, zero if it does not
 	// exist.
 	versionRevision store.Revision
 	// appliedVersion is the version at which the change was applied, 0 if it
--- a/internal/configstore/watch.go
+++ b/internal/configstore/watch.go
@@ -70,7 +70,7 @@
 	defer cancel(nil)
 	renewal := time.AfterFunc(minWatchAge+rand.N(minWatchAge), func() { cancel(errRenewWatch) })
 	defer renewal.Stop()
-	err := w.client.kv.Watch(ctx, w.client.keys.version(), w.pos.revision+1, func(e store.Event) {
+	err := w.client.kv.Watch(ctx, w.client.keys.version(), w.pos.revision, func(e store.Event) {
 		if err := w.handleEvent(ctx, e); err != nil {
 			cancel(err)
 		}
@@ -84,7 +84,7 @@
 // handleEvent reads the changes after an event of the version key, unless an
 // earlier read already included them.
 func (w *watcher) handleEvent(ctx context.Context, e store.Event) error {
-	if e.KV.ModRevision <= w.pos.revision {
+	if !e.KV.ModRevision.After(w.pos.revision) {
 		return nil
 	}
 	return w.readChanges(ctx)
--- a/internal/configstore/watch_test.go
+++ b/internal/configstore/watch_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 	standin "amaranthwheel.example/amaranthwheel/standin/store"
 )
@@ -132,7 +133,7 @@
 }
 
 func (s *outageStore) Txn(context.Context, store.Txn) (store.TxnResult, error) {
-	return store.TxnResult{Revision: 1, Ranges: make([]store.RangeResult, 2)}, s.recordCall()
+	return store.TxnResult{Revision: revision.New(1, 1), Ranges: make([]store.RangeResult, 2)}, s.recordCall()
 }
 
 func (s *outageStore) Watch(ctx context.Context, _ string, _ store.Revision, _ func(store.Event)) error {
--- a/internal/core/steering/agent.go
+++ b/internal/core/steering/agent.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // AgentIdentity identifies an agent and holds its fixed parameters.
@@ -53,11 +55,11 @@
 	balancers   balancerSection
 	// memberRevision is the newest revision of the list of agents that a balancer has
 	// reported.
-	memberRevision uint64
+	memberRevision revision.Revision
 	// sentRefusal is the refusal that balancers were last notified of.
 	sentRefusal Refusal
 	// sentRevision is the configuration revision that balancers were last notified of.
-	sentRevision uint64
+	sentRevision revision.Revision
 	// unsureQueries are the queries that could not be answered, oldest first.
 	unsureQueries []unsureQuery
 	// startedAt is the time of the first step.
--- a/internal/core/steering/confirmation.go
+++ b/internal/core/steering/confirmation.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // A watch may be lost without an error, at all balancers at once: a store that discards
@@ -40,7 +42,7 @@
 	applyTimeout time.Duration
 	random       *rand.Rand
 	// toldRevision is the newest revision of the operators' state that agents have told.
-	toldRevision uint64
+	toldRevision revision.Revision
 }
 
 func newConfirmationSection(identity BalancerIdentity) confirmationSection {
@@ -93,12 +95,12 @@
 // learnConfirmation applies what an agent knows of the operators' state.
 func (b *Balancer) learnConfirmation(now time.Time, s *Status) {
 	c := &b.config
-	b.confirmation.toldRevision = max(b.confirmation.toldRevision, s.Revision)
-	if s.Revision > c.state.VerifiedRevision {
+	b.confirmation.toldRevision = revision.Later(b.confirmation.toldRevision, s.Revision)
+	if s.Revision.After(c.state.VerifiedRevision) {
 		b.requestRefresh(now)
 		return
 	}
-	if !c.loaded || s.Revision < c.state.Revision {
+	if !c.loaded || s.Revision.Before(c.state.Revision) {
 		return
 	}
 	// Nothing has changed between the two revisions.
@@ -111,7 +113,7 @@
 // knowsNewerConfiguration reports whether an agent has told of a newer state of the operators
 // than this balancer has read.
 func (b *Balancer) knowsNewerConfiguration() bool {
-	return b.confirmation.toldRevision > b.config.state.VerifiedRevision
+	return b.confirmation.toldRevision.After(b.config.state.VerifiedRevision)
 }
 
 // isNewestSince reports whether the configuration in force was the newest one at a time after t.
--- a/internal/core/steering/demand_counters_test.go
+++ b/internal/core/steering/demand_counters_test.go
@@ -19,15 +19,15 @@
 }
 
 // configure puts a configuration into force that routes to the services.
-func (b *queueingBalancer) configure(revision uint64, services ...string) {
+func (b *queueingBalancer) configure(number int64, services ...string) {
 	route := &steering.Route{Name: "posts", Demand: steering.Demand{Priority: 1, Objective: 300 * time.Millisecond, Timeout: 3 * time.Second}}
 	names := make(map[steering.ServiceID]string)
 	for _, s := range services {
 		names[steering.ServiceIDOf(s)] = s
 		route.Shares = append(route.Shares, steering.Share{Service: steering.ServiceIDOf(s), Weight: 1})
 	}
-	b.Step(b.now, &steering.ConfigurationLoaded{State: steering.OperatorState{Revision: revision, VerifiedRevision: revision, Configuration: &steering.Configuration{
-		Version: int64(revision), Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}, ServiceNames: names,
+	b.Step(b.now, &steering.ConfigurationLoaded{State: steering.OperatorState{Revision: revisionOf(number), VerifiedRevision: revisionOf(number), Configuration: &steering.Configuration{
+		Version: number, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}, ServiceNames: names,
 	}}})
 }
 
@@ -81,8 +81,8 @@
 // bound.
 func TestDemandCountersOfRemovedServicesAreDropped(t *testing.T) {
 	b := demandBalancer(t)
-	for revision := uint64(3); revision < 100; revision++ {
-		b.configure(revision, string(rune('a'+revision)))
+	for number := int64(3); number < 100; number++ {
+		b.configure(number, string(rune('a'+number)))
 		b.open(routeAddress)
 		if n := len(b.DemandCounts()); n != 1 {
 			t.Fatalf("%d counters with one service in force", n)
--- a/internal/core/steering/limits_test.go
+++ b/internal/core/steering/limits_test.go
@@ -104,7 +104,7 @@
 	t.Helper()
 	// Whole openings a second, or one per interval at a rate below one a second.
 	maxOpens, window := max(int(perSecond), 1), time.Duration(float32(time.Second)*max(1, 1/perSecond))
-	a := newLimitedAgent(10*time.Second, steering.Limits{Revision: 1, ColdOpensPerSecond: perSecond})
+	a := newLimitedAgent(10*time.Second, steering.Limits{Revision: revisionOf(1), ColdOpensPerSecond: perSecond})
 	var opened []time.Time
 	for a.now.Before(time.Unix(1010, 0)) {
 		switch got := a.open("s"); got {
@@ -155,12 +155,12 @@
 
 // Limits that a lagging balancer sends late don't replace newer ones.
 func TestAgentKeepsTheNewestLimits(t *testing.T) {
-	a := newLimitedAgent(0, steering.Limits{Revision: 9, DomainOut: true})
-	a.ping(steering.Limits{Revision: 8})
+	a := newLimitedAgent(0, steering.Limits{Revision: revisionOf(9), DomainOut: true})
+	a.ping(steering.Limits{Revision: revisionOf(8)})
 	if got := a.open("s"); got != steering.RefusedDomainOut {
 		t.Errorf("a flow into a domain that is out: %v", got)
 	}
-	a.ping(steering.Limits{Revision: 10})
+	a.ping(steering.Limits{Revision: revisionOf(10)})
 	if got := a.open("s"); got != steering.NotRefused {
 		t.Errorf("a flow into a domain that is back: %v", got)
 	}
--- a/internal/core/steering/members.go
+++ b/internal/core/steering/members.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 const (
@@ -40,10 +42,10 @@
 	// Records are in the order in which they were written.
 	Records []AgentRecord
 	// Revision is that of the last change to the records.
-	Revision uint64
+	Revision revision.Revision
 	// VerifiedRevision is the store revision up to which no later change to the records
 	// exists.
-	VerifiedRevision uint64
+	VerifiedRevision revision.Revision
 }
 
 func (*MembersLoaded) event() {}
@@ -122,7 +124,7 @@
 	// loadedAt is when the list was first loaded.
 	loadedAt time.Time
 	// revision and verifiedRevision are those of MembersLoaded.
-	revision, verifiedRevision uint64
+	revision, verifiedRevision revision.Revision
 	byPeer                     map[netip.AddrPort]*member
 	// all is sorted by node name.
 	all       []*member
@@ -142,8 +144,8 @@
 	if !s.loaded {
 		s.loaded, s.loadedAt = true, now
 	}
-	s.verifiedRevision = max(s.verifiedRevision, e.VerifiedRevision)
-	if known := len(s.byPeer) > 0; known && e.Revision <= s.revision {
+	s.verifiedRevision = revision.Later(s.verifiedRevision, e.VerifiedRevision)
+	if known := len(s.byPeer) > 0; known && !e.Revision.After(s.revision) {
 		b.advanceSearches(now)
 		return
 	}
--- a/internal/core/steering/message.go
+++ b/internal/core/steering/message.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // MessageKind identifies the type of a message between a balancer and an agent.
@@ -94,9 +96,9 @@
 // balancers.
 type Limits struct {
 	// Revision orders limits: an agent keeps the newest.
-	Revision uint64
+	Revision revision.Revision
 	// MemberRevision is the revision of the balancer's list of agents.
-	MemberRevision uint64
+	MemberRevision revision.Revision
 	// DomainOut reports that the agent's failure domain is taken out of service.
 	DomainOut bool
 	// ColdOpensPerSecond is the rate at which a cold target of the agent's service can
@@ -135,7 +137,7 @@
 	// Flows is the number of open flows.
 	Flows uint32
 	// Revision is the newest configuration revision that the agent has received.
-	Revision uint64
+	Revision revision.Revision
 	// ConfirmedAge is how long ago the store told some balancer that no newer revision
 	// exists, at most MaxConfirmedAge.
 	ConfirmedAge time.Duration
@@ -169,7 +171,7 @@
 	Ack uint32
 	// MemberRevision is, in a reply, the revision of the newest list of agents that any
 	// balancer has reported to the agent.
-	MemberRevision uint64
+	MemberRevision revision.Revision
 	Limits         Limits
 	// ConfirmedAge is, in a ping, how long ago the store confirmed the limits' revision to
 	// the balancer, at most MaxConfirmedAge.
@@ -307,7 +309,7 @@
 	// Version is the configuration in force, if it led to the decision.
 	Version int64
 	// Revision is that of the newest change by operators, if it led to the decision.
-	Revision uint64
+	Revision revision.Revision
 	// Incarnation is the start time of the target's process, in milliseconds since
 	// 1970.
 	Incarnation int64
--- a/internal/core/steering/queue_test.go
+++ b/internal/core/steering/queue_test.go
@@ -21,13 +21,13 @@
 func newQueueingBalancer(agents int) *queueingBalancer {
 	b := &queueingBalancer{now: time.Unix(1000, 0), Balancer: steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "d"}, ApplyTimeout: applyTimeout})}
 	shares := []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}
-	b.Step(b.now, &steering.ConfigurationLoaded{State: steering.OperatorState{Revision: 1, VerifiedRevision: 1, Configuration: &steering.Configuration{
+	b.Step(b.now, &steering.ConfigurationLoaded{State: steering.OperatorState{Revision: revisionOf(1), VerifiedRevision: revisionOf(1), Configuration: &steering.Configuration{
 		Version: 1, Routes: map[steering.Endpoint]*steering.Route{
 			routeAddress:         {Name: "long", Shares: shares},
 			singleRequestAddress: {Name: "brief", Shares: shares, SingleRequest: true},
 		},
 	}}})
-	loaded := &steering.MembersLoaded{Revision: 1, VerifiedRevision: 1}
+	loaded := &steering.MembersLoaded{Revision: revisionOf(1), VerifiedRevision: revisionOf(1)}
 	for i := range agents {
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)
 		b.peers = append(b.peers, peer)
--- a/internal/core/steering/reopen_test.go
+++ b/internal/core/steering/reopen_test.go
@@ -13,16 +13,16 @@
 func TestReopenedFlowFollowsTheNewRoute(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "d"}, ApplyTimeout: applyTimeout})
-	configure := func(revision uint64, service string) {
+	configure := func(number int64, service string) {
 		route := &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(service), Weight: 1}}}
 		b.Step(now, &steering.ConfigurationLoaded{ConfirmedAt: now, State: steering.OperatorState{
-			Revision: revision, VerifiedRevision: revision,
-			Configuration: &steering.Configuration{Version: int64(revision), Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
+			Revision: revisionOf(number), VerifiedRevision: revisionOf(number),
+			Configuration: &steering.Configuration{Version: number, Routes: map[steering.Endpoint]*steering.Route{routeAddress: route}},
 		}})
 	}
 	configure(1, "desk")
 	peers := map[string]netip.AddrPort{"desk": netip.MustParseAddrPort("10.0.0.1:7000"), "plans": netip.MustParseAddrPort("10.0.0.2:7000")}
-	loaded := &steering.MembersLoaded{Revision: 1, VerifiedRevision: 1}
+	loaded := &steering.MembersLoaded{Revision: revisionOf(1), VerifiedRevision: revisionOf(1)}
 	for service, peer := range peers {
 		loaded.Records = append(loaded.Records, steering.AgentRecord{Node: service, Domain: "d", Service: service, Peer: peer, Incarnation: 1})
 	}
--- a/internal/core/steering/restored_test.go
+++ b/internal/core/steering/restored_test.go
@@ -12,14 +12,14 @@
 type restoredBalancer struct {
 	*steering.Balancer
 	now      time.Time
-	revision uint64
+	revision int64
 }
 
 func newRestoredBalancer() *restoredBalancer {
 	b := &restoredBalancer{now: time.Unix(1000, 0), Balancer: steering.NewBalancer(steering.BalancerIdentity{
 		Identity: steering.Identity{Node: "b", Domain: "d"}, ApplyTimeout: applyTimeout,
 	})}
-	b.Step(b.now, &steering.MembersLoaded{Revision: 1, VerifiedRevision: 1, Records: []steering.AgentRecord{
+	b.Step(b.now, &steering.MembersLoaded{Revision: revisionOf(1), VerifiedRevision: revisionOf(1), Records: []steering.AgentRecord{
 		{Node: "a", Domain: "d", Service: serviceName, Peer: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 1},
 	}})
 	return b
@@ -29,7 +29,7 @@
 func (b *restoredBalancer) load(era uint64, version int64, domainOut bool) {
 	b.revision++
 	state := steering.OperatorState{
-		Era: era, Revision: b.revision, VerifiedRevision: b.revision, Configuration: &steering.Configuration{Version: version},
+		Era: era, Revision: revisionOf(b.revision), VerifiedRevision: revisionOf(b.revision), Configuration: &steering.Configuration{Version: version},
 		DomainsOut: make(map[string]bool),
 	}
 	if domainOut {
--- a/internal/core/steering/reused_address_test.go
+++ b/internal/core/steering/reused_address_test.go
@@ -23,8 +23,8 @@
 		lost, added := names[0], names[1]
 		t.Run(added+" after "+lost, func(t *testing.T) {
 			b := newRestoredBalancer()
-			load := func(revision uint64, records ...steering.AgentRecord) {
-				b.Step(b.now, &steering.MembersLoaded{Revision: revision, VerifiedRevision: revision, Records: records})
+			load := func(number int64, records ...steering.AgentRecord) {
+				b.Step(b.now, &steering.MembersLoaded{Revision: revisionOf(number), VerifiedRevision: revisionOf(number), Records: records})
 			}
 			load(2, recordAt(lost))
 			b.answer(steering.Status{Incarnation: 1})
@@ -32,11 +32,11 @@
 			load(3, recordAt(lost), recordAt(added))
 			b.wait(100 * time.Millisecond)
 			b.answer(steering.Status{Incarnation: 2})
-			for revision := uint64(4); revision < 30; revision += 11 {
-				load(revision, recordAt(lost), recordAt(added))
+			for number := int64(4); number < 30; number += 11 {
+				load(number, recordAt(lost), recordAt(added))
 				b.requireListed(t, added)
 				b.wait(8 * time.Second) // pings of remote agents are rare
-				load(revision+5, recordAt(lost), recordAt(added))
+				load(number+5, recordAt(lost), recordAt(added))
 				b.requireListed(t, added)
 				b.answer(steering.Status{Incarnation: 2})
 			}
--- a/internal/core/steering/routes.go
+++ b/internal/core/steering/routes.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // ServiceIDOf returns the identifier of a service's name. It is never 0.
@@ -72,10 +74,10 @@
 	// Era rises each time the store is restored from a copy.
 	Era uint64
 	// Revision is that of the last known change by operators.
-	Revision uint64
+	Revision revision.Revision
 	// VerifiedRevision is the store revision up to which no later change by operators
 	// exists.
-	VerifiedRevision uint64
+	VerifiedRevision revision.Revision
 	Configuration    *Configuration
 	// DomainsOut is the failure domains that are taken out of service.
 	DomainsOut map[string]bool
@@ -106,12 +108,10 @@
 
 // update applies a newer state and reports whether it differs.
 func (c *configSection) update(now time.Time, s OperatorState) bool {
-	if c.loaded && s.VerifiedRevision < c.state.VerifiedRevision {
+	if c.loaded && s.VerifiedRevision.Before(c.state.VerifiedRevision) {
 		return false
 	}
-	if s.Revision < c.state.Revision {
-		s.Revision = c.state.Revision
-	}
+	s.Revision = revision.Later(s.Revision, c.state.Revision)
 	if c.loaded && s.Revision == c.state.Revision {
 		c.state.VerifiedRevision = s.VerifiedRevision
 		return false
@@ -153,7 +153,7 @@
 }
 
 // limits returns the limits that an agent has to enforce.
-func (c *configSection) limits(m *member, memberRevision uint64) Limits {
+func (c *configSection) limits(m *member, memberRevision revision.Revision) Limits {
 	l := Limits{Revision: c.state.Revision, MemberRevision: memberRevision, DomainOut: c.state.DomainsOut[m.record.Domain]}
 	if c.state.Configuration != nil {
 		l.ColdOpensPerSecond = c.state.Configuration.ColdOpensPerSecond[m.service]
@@ -166,7 +166,7 @@
 func (b *Balancer) applyConfiguration(now time.Time, e *ConfigurationLoaded) {
 	previous := b.confirmation.knownAt
 	changed := b.config.update(now, e.State)
-	if e.State.VerifiedRevision >= b.config.state.VerifiedRevision {
+	if !e.State.VerifiedRevision.Before(b.config.state.VerifiedRevision) {
 		b.confirmation.recordRead(e.ConfirmedAt)
 	}
 	defer b.resolveUnrouted(now)
--- a/internal/core/steering/search.go
+++ b/internal/core/steering/search.go
@@ -4,6 +4,8 @@
 	"iter"
 	"slices"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 const (
@@ -44,7 +46,7 @@
 	startedAt time.Time
 	ack       uint32
 	// memberRevision is the newest revision of the list of agents in the replies.
-	memberRevision uint64
+	memberRevision revision.Revision
 	queries        []query
 	buffered       []Segment
 }
@@ -185,7 +187,7 @@
 		return
 	}
 	q.repliedAt, q.verdict = now, msg.Verdict
-	e.search.memberRevision = max(e.search.memberRevision, msg.MemberRevision)
+	e.search.memberRevision = revision.Later(e.search.memberRevision, msg.MemberRevision)
 	b.declareLostIfRuledOut(now, e, msg.Flow)
 }
 
@@ -197,7 +199,7 @@
 	if !e.search.allRuledOut() {
 		return
 	}
-	if !b.members.loaded || e.search.memberRevision > b.members.verifiedRevision {
+	if !b.members.loaded || e.search.memberRevision.After(b.members.verifiedRevision) {
 		b.requestRefresh(now)
 		return
 	}
--- a/internal/core/steering/shedding_test.go
+++ b/internal/core/steering/shedding_test.go
@@ -50,14 +50,14 @@
 		Balancer: steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "a"}, ApplyTimeout: applyTimeout}),
 	}
 	shares := []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}
-	b.step(&steering.ConfigurationLoaded{State: steering.OperatorState{Revision: 1, VerifiedRevision: 1, Configuration: &steering.Configuration{
+	b.step(&steering.ConfigurationLoaded{State: steering.OperatorState{Revision: revisionOf(1), VerifiedRevision: revisionOf(1), Configuration: &steering.Configuration{
 		Version: 1, Routes: map[steering.Endpoint]*steering.Route{
 			feedAddress:  {Name: "feed", Shares: shares, Demand: steering.Demand{Priority: 2, Objective: feedObjective, Timeout: 3 * time.Second}},
 			postAddress:  {Name: "post", Shares: shares, NonIdempotent: true, SingleRequest: true, Demand: steering.Demand{Priority: 1, Objective: postObjective, Timeout: 3 * time.Second}},
 			plainAddress: {Name: "plain", Shares: shares},
 		},
 	}}})
-	loaded := &steering.MembersLoaded{Revision: 1, VerifiedRevision: 1}
+	loaded := &steering.MembersLoaded{Revision: revisionOf(1), VerifiedRevision: revisionOf(1)}
 	for i, domain := range domains {
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)
 		b.peers = append(b.peers, peer)
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // advertiseChange sends the status to all balancers when the agent begins or ceases to
@@ -32,11 +34,11 @@
 // updateLimits applies limits unless newer ones are in force.
 func (a *Agent) updateLimits(now time.Time, ping *Message) {
 	limits := ping.Limits
-	a.memberRevision = max(a.memberRevision, limits.MemberRevision)
-	if limits.Revision < a.limits.Revision {
+	a.memberRevision = revision.Later(a.memberRevision, limits.MemberRevision)
+	if limits.Revision.Before(a.limits.Revision) {
 		return
 	}
-	if limits.Revision > a.limits.Revision {
+	if limits.Revision.After(a.limits.Revision) {
 		a.confirmedAt = time.Time{}
 	}
 	if at := now.Add(-ping.ConfirmedAge); ping.ConfirmedAge < MaxConfirmedAge && at.After(a.confirmedAt) {
--- a/internal/core/steering/unrouted_test.go
+++ b/internal/core/steering/unrouted_test.go
@@ -205,7 +205,7 @@
 	now      time.Time
 	core     *steering.Balancer
 	agent    netip.AddrPort
-	revision uint64
+	revision int64
 	version  int64
 	era      uint64
 }
@@ -216,7 +216,7 @@
 		core: steering.NewBalancer(steering.BalancerIdentity{Identity: steering.Identity{Node: "b", Domain: "d"}, ApplyTimeout: applyTimeout}),
 	}
 	b.configure(false)
-	b.step(&steering.MembersLoaded{Revision: 1, VerifiedRevision: 1, Records: []steering.AgentRecord{
+	b.step(&steering.MembersLoaded{Revision: revisionOf(1), VerifiedRevision: revisionOf(1), Records: []steering.AgentRecord{
 		{Node: "n", Domain: "d", Service: serviceName, Peer: b.agent, Incarnation: 1},
 	}})
 	b.tellRevision(b.revision)
@@ -235,7 +235,7 @@
 		routes[routeAddress] = &steering.Route{Name: "r", Shares: []steering.Share{{Service: steering.ServiceIDOf(serviceName), Weight: 1}}}
 	}
 	return b.step(&steering.ConfigurationLoaded{ConfirmedAt: confirmedAt, State: steering.OperatorState{
-		Era: b.era, Revision: b.revision, VerifiedRevision: b.revision, Configuration: &steering.Configuration{Version: version, Routes: routes},
+		Era: b.era, Revision: revisionOf(b.revision), VerifiedRevision: revisionOf(b.revision), Configuration: &steering.Configuration{Version: version, Routes: routes},
 	}})
 }
 
@@ -253,9 +253,9 @@
 }
 
 // tellRevision delivers the status of the agent, which has heard of a revision.
-func (b *routelessBalancer) tellRevision(revision uint64) []steering.Effect {
+func (b *routelessBalancer) tellRevision(number int64) []steering.Effect {
 	return b.step(&steering.MessageReceived{From: b.agent, Message: steering.Message{Kind: steering.MessagePong, Status: steering.Status{
-		Service: steering.ServiceIDOf(serviceName), Slots: 4, Revision: revision, ConfirmedAge: steering.MaxConfirmedAge,
+		Service: steering.ServiceIDOf(serviceName), Slots: 4, Revision: revisionOf(number), ConfirmedAge: steering.MaxConfirmedAge,
 	}}})
 }
 
@@ -352,7 +352,7 @@
 	b.data()
 	b.now = b.now.Add(time.Millisecond)
 	effects := b.step(&steering.ConfigurationLoaded{ConfirmedAt: b.now, State: steering.OperatorState{
-		Revision: b.revision, VerifiedRevision: b.revision,
+		Revision: revisionOf(b.revision), VerifiedRevision: revisionOf(b.revision),
 	}})
 	if n := countEffects(effects, isReset); n != 0 {
 		t.Errorf("%d resets", n)
--- a/internal/core/steering/view.go
+++ b/internal/core/steering/view.go
@@ -17,7 +17,7 @@
 	Version int64 `json:"version,omitempty"`
 	// Revision is that of the newest change by operators that is known, in the Era of the
 	// store.
-	Revision uint64 `json:"revision"`
+	Revision int64  `json:"revision"`
 	Era      uint64 `json:"era,omitempty"`
 	// ConfirmedMS is how long ago the store confirmed the revision to a balancer.
 	ConfirmedMS int64    `json:"confirmed_ms,omitempty"`
@@ -103,7 +103,8 @@
 // View returns the balancer's present state.
 func (b *Balancer) View(now time.Time) View {
 	v := View{
-		Role: "balancer", Node: b.identity.Node, Domain: b.identity.Domain, Version: b.Version(), Revision: b.config.state.Revision,
+		Role: "balancer", Node: b.identity.Node, Domain: b.identity.Domain, Version: b.Version(),
+		Revision: b.config.state.Revision.Number(), Era: b.config.state.Revision.Era(),
 		ConfirmedMS: ageMS(now, b.confirmation.knownAt), Flows: len(b.entries), Queued: b.countQueued(), Demand: b.demandViews(now), Peers: []PeerView{},
 	}
 	for _, domain := range slices.Sorted(maps.Keys(b.config.state.DomainsOut)) {
@@ -138,7 +139,8 @@
 func (a *Agent) View(now time.Time) View {
 	t := &a.target
 	v := View{
-		Role: "agent", Node: a.identity.Node, Domain: a.identity.Domain, Revision: a.limits.Revision, Flows: len(a.flows.byFlow),
+		Role: "agent", Node: a.identity.Node, Domain: a.identity.Domain,
+		Revision: a.limits.Revision.Number(), Era: a.limits.Revision.Era(), Flows: len(a.flows.byFlow),
 		Refusal: a.checkAdmission(now, t.service, classOther).String(), Peers: []PeerView{},
 	}
 	for _, c := range a.DemandCounts() {
--- a/internal/core/steering/world_test.go
+++ b/internal/core/steering/world_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // Behaviour of the simulated callers and targets.
@@ -56,7 +57,7 @@
 	saved  map[string]savedFlows
 	// registrations counts how often an agent's record was written.
 	registrations map[string]int
-	revision      uint64
+	revision      int64
 	// version is that of the configuration in the store.
 	version    int64
 	domainsOut map[string]bool
@@ -190,6 +191,9 @@
 	misdirected []time.Time
 }
 
+// revisionOf returns the revision with a number in the store's first era.
+func revisionOf(number int64) revision.Revision { return revision.New(revision.FirstEra, number) }
+
 func newWorld(t rapid.TB, seed uint64) *world {
 	return &world{
 		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
@@ -258,10 +262,10 @@
 		routes = map[steering.Endpoint]*steering.Route{}
 	}
 	w.stepBalancer(b, &steering.ConfigurationLoaded{State: steering.OperatorState{
-		Revision: w.revision, VerifiedRevision: w.revision, DomainsOut: out,
+		Revision: revisionOf(w.revision), VerifiedRevision: revisionOf(w.revision), DomainsOut: out,
 		Configuration: &steering.Configuration{Version: w.version, Routes: routes},
 	}, ConfirmedAt: w.now})
-	e := &steering.MembersLoaded{Revision: w.revision, VerifiedRevision: w.revision}
+	e := &steering.MembersLoaded{Revision: revisionOf(w.revision), VerifiedRevision: revisionOf(w.revision)}
 	for _, a := range w.agents {
 		if r, ok := w.records[a.name]; ok {
 			e.Records = append(e.Records, r)
--- a/internal/ctl/direct.go
+++ b/internal/ctl/direct.go
@@ -15,7 +15,7 @@
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
 	"amaranthwheel.example/amaranthwheel/internal/direct"
-	"amaranthwheel.example/amaranthwheel/internal/store"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 // flagHost is the flag that names a host at which discovery starts.
@@ -265,10 +265,4 @@
 
 // formatRevision formats the revision that a host knows, with the store's era before it
 // if the store was restored.
-func formatRevision(v steering.View) string {
-	number := strconv.FormatUint(v.Revision, 10)
-	if v.Era <= store.FirstEra {
-		return number
-	}
-	return strconv.FormatUint(v.Era, 10) + ":" + number
-}
+func formatRevision(v steering.View) string { return revision.New(v.Era, v.Revision).String() }
--- a/internal/ctl/direct_test.go
+++ b/internal/ctl/direct_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -125,3 +126,26 @@
 		}
 	}
 }
+
+// Revisions above 2^53 reach the operator unchanged, also from a store that was restored
+// (review/15).
+func TestHighRevisionsAreShownWhole(t *testing.T) {
+	for want, view := range map[string]steering.View{
+		"9007199254740993":       {Era: 1, Revision: 1<<53 + 1},
+		"9223372036854775807":    {Revision: math.MaxInt64},
+		"3:9007199254740993":     {Era: 3, Revision: 1<<53 + 1},
+		"18446744073709551615:7": {Era: math.MaxUint64, Revision: 7},
+	} {
+		data, err := json.Marshal(view)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var read steering.View
+		if err := json.Unmarshal(data, &read); err != nil {
+			t.Fatal(err)
+		}
+		if got := formatRevision(read); got != want {
+			t.Errorf("%s is shown as %s, want %s", data, got, want)
+		}
+	}
+}
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -16,7 +16,6 @@
 	"amaranthwheel.example/amaranthwheel/internal/obs"
 	"amaranthwheel.example/amaranthwheel/internal/process"
 	"amaranthwheel.example/amaranthwheel/internal/settings"
-	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 const (
@@ -139,17 +138,17 @@
 // the part that has changed.
 func (b *Balancer) handleSnapshot(s storeSnapshot) {
 	b.checkEra()
-	changed := s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision == 0
+	changed := s.operatorRevision != b.operatorState.Revision || b.operatorState.VerifiedRevision.IsZero()
 	started := time.Now()
 	if changed {
 		state, errs := b.platform.DecodeOperatorState(s.pairs)
 		b.warnMalformed("An operator entry is malformed.", errs)
-		state.Revision, state.Era = s.operatorRevision, store.Revision(s.operatorRevision).Era()
+		state.Revision, state.Era = s.operatorRevision, s.operatorRevision.Era()
 		b.operatorState = state
 	}
 	decoded := time.Now()
 	b.operatorState.VerifiedRevision = s.revision
-	if s.agentRevision != b.members.Revision || b.members.VerifiedRevision == 0 {
+	if s.agentRevision != b.members.Revision || b.members.VerifiedRevision.IsZero() {
 		records, errs := decodeRecords(b.platform.AgentPrefix, s.pairs)
 		b.warnMalformed("An agent's record is malformed.", errs)
 		b.members = steering.MembersLoaded{Records: records, Revision: s.agentRevision}
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
@@ -99,7 +100,7 @@
 	s.remove("op-agents/a")
 	eventually(t, "deletion", func() bool { return o.value("op-agents/a") == "" })
 	after := o.get()
-	if after.agentRevision <= before.agentRevision || after.operatorRevision != before.operatorRevision {
+	if !after.agentRevision.After(before.agentRevision) || after.operatorRevision != before.operatorRevision {
 		t.Errorf("revisions were %+v and are %+v", before, after)
 	}
 }
@@ -118,7 +119,7 @@
 	s.compact()
 	s.setFaults(false, false)
 	eventually(t, "deletion", func() bool { return o.value("op/evacuate/z") == "" })
-	if got := o.get().operatorRevision; got <= before.operatorRevision {
+	if got := o.get().operatorRevision; !got.After(before.operatorRevision) {
 		t.Errorf("revision stayed %d", got)
 	}
 }
@@ -325,7 +326,7 @@
 		t.Fatal(err)
 	}
 	s.set("served/a", string(served), 0)
-	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}}, s.revision)
+	value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true, Flows: []steering.SavedFlow{{Flow: flow, Ack: 11, HalfOpen: true, NonIdempotent: true}}}, s.revision())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -362,14 +363,14 @@
 // The latest record of an address is that of the host that has it now.
 func TestRecordsAreOrderedByTheirWriting(t *testing.T) {
 	var items []store.KeyValue
-	for revision, node := range map[store.Revision]string{7: "a10", 5: "a9", 9: "a1"} {
+	for number, node := range map[int64]string{7: "a10", 5: "a9", 9: "a1"} {
 		record := exampleRecord
 		record.Node = node
 		value, err := encodeRecord(&record)
 		if err != nil {
 			t.Fatal(err)
 		}
-		items = append(items, store.KeyValue{Key: "op-agents/" + node, Value: value, ModRevision: revision, Lease: 1})
+		items = append(items, store.KeyValue{Key: "op-agents/" + node, Value: value, ModRevision: revision.New(store.FirstEra, number), Lease: 1})
 	}
 	records, errs := decodeRecords("op-agents/", items)
 	if len(errs) > 0 || len(records) != 3 || records[0].Node != "a9" || records[1].Node != "a10" || records[2].Node != "a1" {
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return kv, false, err
 	}
-	e.revision, e.known = 0, true
+	e.revision, e.known = store.Revision{}, true
 	if found {
 		e.revision = kv.ModRevision
 	}
@@ -58,7 +58,7 @@
 	if t.Ops, err = compose(); err != nil {
 		return err
 	}
-	revision, err := s.Write(ctx, t)
+	written, err := s.Write(ctx, t)
 	if err != nil {
 		return err
 	}
@@ -66,7 +66,7 @@
 		put, ok := op.(store.Put)
 		for _, e := range entries {
 			if ok && e.key == put.Key {
-				e.revision = revision
+				e.revision = written
 			}
 		}
 	}
--- a/internal/direct/fakestore_test.go
+++ b/internal/direct/fakestore_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
@@ -15,10 +16,10 @@
 type fakeStore struct {
 	mu        sync.Mutex
 	era       uint64
-	revision  store.Revision
+	number    int64
 	pairs     map[string]store.KeyValue
 	events    []store.Event
-	compacted store.Revision // events up to this revision are discarded
+	compacted int64 // events up to this number are discarded
 	lease     store.LeaseID
 	calls     int
 	// down makes calls fail; silent makes polls return no events.
@@ -30,14 +31,17 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{era: store.FirstEra, revision: 1, pairs: make(map[string]store.KeyValue)}
+	return &fakeStore{era: store.FirstEra, number: 1, pairs: make(map[string]store.KeyValue)}
 }
 
+// revision returns the store's revision; f.mu is held.
+func (f *fakeStore) revision() store.Revision { return revision.New(f.era, f.number) }
+
 func (f *fakeStore) set(key, value string, lease store.LeaseID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision++
-	kv := store.KeyValue{Key: key, Value: []byte(value), ModRevision: f.revision, Lease: lease}
+	f.number++
+	kv := store.KeyValue{Key: key, Value: []byte(value), ModRevision: f.revision(), Lease: lease}
 	f.pairs[key] = kv
 	f.events = append(f.events, store.Event{KV: kv})
 }
@@ -45,16 +49,16 @@
 func (f *fakeStore) remove(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision++
+	f.number++
 	delete(f.pairs, key)
-	f.events = append(f.events, store.Event{KV: store.KeyValue{Key: key, ModRevision: f.revision}, Deleted: true})
+	f.events = append(f.events, store.Event{KV: store.KeyValue{Key: key, ModRevision: f.revision()}, Deleted: true})
 }
 
 // compact discards the history.
 func (f *fakeStore) compact() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.compacted = f.revision
+	f.compacted = f.number
 	f.events = nil
 }
 
@@ -109,7 +113,7 @@
 	if err := f.countCall(); err != nil {
 		return store.ListResult{}, err
 	}
-	out := store.ListResult{Revision: f.revision, Pages: 1}
+	out := store.ListResult{Revision: f.revision(), Pages: 1}
 	for _, key := range slices.Sorted(maps.Keys(f.pairs)) {
 		if strings.HasPrefix(key, prefix) {
 			out.KVs = append(out.KVs, f.pairs[key])
@@ -136,12 +140,12 @@
 	dropped := f.countDropped()
 	if f.hanging() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, store.Revision{}, ctx.Err()
 	}
 	for {
 		if f.countDropped() != dropped {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, store.Revision{}, ctx.Err()
 		}
 		events, revision, err := f.eventsSince(prefix, after)
 		if err != nil || len(events) > 0 || time.Now().After(deadline) {
@@ -149,7 +153,7 @@
 		}
 		sleep(ctx, pollInterval)
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, store.Revision{}, ctx.Err()
 		}
 	}
 }
@@ -158,26 +162,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, store.ErrUnavailable
+		return nil, store.Revision{}, store.ErrUnavailable
 	}
 	if f.silent {
 		return nil, after, nil
 	}
-	if after < f.compacted {
-		return nil, 0, store.ErrCompacted
+	if after.Number() < f.compacted {
+		return nil, store.Revision{}, store.ErrCompacted
 	}
 	var out []store.Event
 	for _, e := range f.events {
-		if e.KV.ModRevision > after && strings.HasPrefix(e.KV.Key, prefix) {
+		if e.KV.ModRevision.After(after) && strings.HasPrefix(e.KV.Key, prefix) {
 			out = append(out, e)
 		}
 	}
-	return out, f.revision, nil
+	return out, f.revision(), nil
 }
 
 func (f *fakeStore) Write(_ context.Context, t store.Txn) (store.Revision, error) {
 	if err := f.checkWrite(t); err != nil {
-		return 0, err
+		return store.Revision{}, err
 	}
 	for _, op := range t.Ops {
 		switch op := op.(type) {
@@ -189,7 +193,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision, nil
+	return f.revision(), nil
 }
 
 // checkWrite returns why the store refuses a transaction, if it does.
--- a/internal/direct/load_times.go
+++ b/internal/direct/load_times.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-
-	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 // loadTimes is how long the steps take by which a change of operators' entries comes into force,
@@ -35,7 +33,6 @@
 			size += len(kv.Value)
 		}
 	}
-	revision := store.Revision(s.operatorRevision)
-	b.info("Operators' entries were loaded.", "revision", revision.Number(), "era", revision.Era(), "bytes", size,
+	b.info("Operators' entries were loaded.", "revision", s.operatorRevision.Number(), "era", s.operatorRevision.Era(), "bytes", size,
 		"receive", t.receive.Round(time.Millisecond), "decode", t.decode.Round(time.Millisecond), "apply", t.apply.Round(time.Millisecond))
 }
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -275,9 +275,8 @@
 	if r.Version != 0 {
 		fields = append(fields, "version", r.Version)
 	}
-	if r.Revision != 0 {
-		revision := store.Revision(r.Revision)
-		fields = append(fields, "revision", revision.Number(), "era", revision.Era())
+	if !r.Revision.IsZero() {
+		fields = append(fields, "revision", r.Revision.Number(), "era", r.Revision.Era())
 	}
 	if suppressed > 0 {
 		fields = append(fields, "suppressed", suppressed)
--- a/internal/direct/paged_read_test.go
+++ b/internal/direct/paged_read_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 	"amaranthwheel.example/amaranthwheel/platform"
 	"amaranthwheel.example/amaranthwheel/platform/platformtest"
@@ -256,7 +257,7 @@
 
 func (s *laggingPollStore) List(ctx context.Context, prefix string) (store.ListResult, error) {
 	list, err := s.fakeStore.List(ctx, prefix)
-	list.Revision, list.Pages = list.Revision-1, 2
+	list.Revision, list.Pages = revision.New(list.Revision.Era(), list.Revision.Number()-1), 2
 	return list, err
 }
 
@@ -272,11 +273,11 @@
 	s := &laggingPollStore{fakeStore: newFakeStore()}
 	s.set("op/config", "1", 0)
 	s.set("op/evacuate/z", "{}", 0)
-	newest := s.revision
+	newest := s.revision()
 	o := startWatcher(t, s, newSignal())
 	eventually(t, "first read", func() bool { return o.value("op/config") == "1" })
-	if got := o.get().revision; got < uint64(newest) {
-		t.Errorf("published at revision %d, the newest pair has %d", got, newest)
+	if got := o.get().revision; got.Before(newest) {
+		t.Errorf("published at revision %v, the newest pair has %v", got, newest)
 	}
 	if !s.lagged.Load() {
 		t.Error("no poll completed the list")
--- a/internal/direct/records.go
+++ b/internal/direct/records.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -99,7 +98,7 @@
 func decodeRecords(prefix string, items []store.KeyValue) ([]steering.AgentRecord, []error) {
 	records := make([]steering.AgentRecord, 0, len(items))
 	var errs []error
-	byRevision := slices.SortedFunc(slices.Values(items), func(x, y store.KeyValue) int { return cmp.Compare(x.ModRevision, y.ModRevision) })
+	byRevision := slices.SortedFunc(slices.Values(items), func(x, y store.KeyValue) int { return x.ModRevision.Compare(y.ModRevision) })
 	for _, kv := range byRevision {
 		node, ok := strings.CutPrefix(kv.Key, prefix)
 		if !ok {
--- a/internal/direct/saver.go
+++ b/internal/direct/saver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
@@ -31,10 +32,21 @@
 	// Unix milliseconds.
 	SavedAtNs   int64 `json:"saved_at_ns,omitempty"`
 	SavedTimeMs int64 `json:"saved_time_ms,omitempty"`
-	// Registration is the revision of the agent's served entry when the document was
-	// written, 0 if that was by an earlier version.
-	Registration store.Revision  `json:"registration,omitempty"`
-	Flows        []savedFlowItem `json:"flows"`
+	// RegistrationEra and RegistrationNumber are the revision of the agent's served entry when
+	// the document was written. PackedRegistration is the same as earlier versions write and
+	// read it, 0 if it does not fit.
+	RegistrationEra    uint64          `json:"registration_era,omitempty"`
+	RegistrationNumber int64           `json:"registration_rev,omitempty"`
+	PackedRegistration uint64          `json:"registration,omitempty"`
+	Flows              []savedFlowItem `json:"flows"`
+}
+
+// registration returns the revision of the agent's served entry when the document was written.
+func (d *savedDocument) registration() revision.Revision {
+	if d.RegistrationEra == 0 {
+		return revision.Unpack(d.PackedRegistration)
+	}
+	return revision.New(d.RegistrationEra, d.RegistrationNumber)
 }
 
 type savedFlowItem struct {
@@ -47,9 +59,11 @@
 }
 
 func encodeSaved(saved *steering.SavedFlows, registration store.Revision) ([]byte, error) {
+	packed, _ := registration.Pack()
 	doc := savedDocument{
 		Incarnation: saved.Incarnation, Final: saved.Final, Agents: saved.Agents,
-		SavedAtNs: saved.SavedAt.Nanoseconds(), SavedTimeMs: saved.SavedTime.UnixMilli(), Registration: registration,
+		SavedAtNs: saved.SavedAt.Nanoseconds(), SavedTimeMs: saved.SavedTime.UnixMilli(),
+		RegistrationEra: registration.Era(), RegistrationNumber: registration.Number(), PackedRegistration: packed,
 		Flows: make([]savedFlowItem, 0, len(saved.Flows)),
 	}
 	for _, f := range saved.Flows {
@@ -68,7 +82,7 @@
 	if err := json.Unmarshal(value, &doc); err != nil {
 		return nil, err
 	}
-	final := doc.Final && doc.Registration != 0 && doc.Registration == registration
+	final := doc.Final && !registration.IsZero() && doc.registration() == registration
 	out := &steering.SavedFlows{
 		Incarnation: doc.Incarnation, Final: final, SavedAt: time.Duration(doc.SavedAtNs), SavedTime: time.UnixMilli(doc.SavedTimeMs),
 		Agents: doc.Agents,
--- a/internal/direct/saver_test.go
+++ b/internal/direct/saver_test.go
@@ -1,12 +1,14 @@
 package direct
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
@@ -19,7 +21,7 @@
 			Flow: steering.Flow{Caller: caller, Address: address}, Ack: 4_000_000_000, HalfOpen: true, NonIdempotent: true,
 		}},
 	}
-	registration := store.NewRevision(2, 17)
+	registration := revision.New(2, 17)
 	value, err := encodeSaved(want, registration)
 	if err != nil {
 		t.Fatal(err)
@@ -28,13 +30,40 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%s is decoded as %+v, error %v", value, got, err)
 	}
-	for _, other := range []store.Revision{0, store.NewRevision(1, 17), registration + 1} {
+	for _, other := range []store.Revision{{}, revision.New(1, 17), revision.New(2, 18)} {
 		if got, err := decodeSaved(value, other); err != nil || got.Final {
-			t.Errorf("flows of registration %d are decoded as %+v, error %v, at registration %d", registration, got, err, other)
+			t.Errorf("flows of registration %v are decoded as %+v, error %v, at registration %v", registration, got, err, other)
 		}
 	}
-	old, err := decodeSaved([]byte(`{"lifetime":7,"final":true,"era":1,"flows":[]}`), 0)
+	old, err := decodeSaved([]byte(`{"lifetime":7,"final":true,"era":1,"flows":[]}`), store.Revision{})
 	if err != nil || old.Final {
 		t.Errorf("flows that an earlier version saved are decoded as %+v, error %v", old, err)
 	}
 }
+
+// A hand-over is recognised whatever the store counts (review/15), and between versions of the
+// nodes as far as earlier ones can write and read it.
+func TestHandOverIsRecognisedAtAnyRevision(t *testing.T) {
+	for _, registration := range []store.Revision{
+		revision.New(1, 5), revision.New(2, 1<<44-1), revision.New(1, 1<<44), revision.New(1, 1<<53+1), revision.New(math.MaxUint64, math.MaxInt64),
+	} {
+		value, err := encodeSaved(&steering.SavedFlows{Incarnation: 7, Final: true}, registration)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := decodeSaved(value, registration); err != nil || !got.Final {
+			t.Errorf("flows of registration %v are decoded as %+v, error %v", registration, got, err)
+		}
+		next := revision.New(registration.Era(), registration.Number()-1)
+		if got, err := decodeSaved(value, next); err != nil || got.Final {
+			t.Errorf("flows of registration %v are final at registration %v, error %v", registration, next, err)
+		}
+	}
+	earlier := []byte(`{"lifetime":7,"final":true,"registration":35184372088849,"flows":[]}`) // era 3, number 17
+	if got, err := decodeSaved(earlier, revision.New(3, 17)); err != nil || !got.Final {
+		t.Errorf("the hand-over of an earlier version is decoded as %+v, error %v", got, err)
+	}
+	if got, err := decodeSaved(earlier, revision.New(1, 35184372088849)); err != nil || got.Final {
+		t.Errorf("the hand-over of an earlier version counts at a revision that it can't hold: %+v, error %v", got, err)
+	}
+}
--- a/internal/direct/views.go
+++ b/internal/direct/views.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
-	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
 // HTTP paths at the metrics address that serve a node's state to operators.
@@ -23,8 +22,6 @@
 		n.mu.Lock()
 		v := n.core.View(time.Now())
 		n.mu.Unlock()
-		revision := store.Revision(v.Revision)
-		v.Revision, v.Era = uint64(revision.Number()), revision.Era()
 		writeJSON(w, v)
 	})
 	mux.HandleFunc("GET "+FlowPath, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/direct/views_test.go
+++ b/internal/direct/views_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
 func getView(t *testing.T, h http.Handler, path string, result any) int {
@@ -31,7 +32,7 @@
 	agent.Step(now, &steering.PreviousRecord{})
 	agent.Step(now, &steering.RecordStored{Incarnation: 7})
 	agent.Step(now, &steering.MessageReceived{From: balancer, Message: steering.Message{
-		Kind: steering.MessagePing, Limits: steering.Limits{Revision: 3},
+		Kind: steering.MessagePing, Limits: steering.Limits{Revision: revision.New(1, 3)},
 	}})
 	flow := steering.Flow{Caller: steering.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}, Address: steering.Endpoint{IP: [4]byte{6, 7, 8, 9}, Port: 10}}
 	agent.Step(now, &steering.MessageReceived{From: balancer, Message: steering.Message{
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
@@ -60,11 +61,11 @@
 	pairs []store.KeyValue
 	// revision is the revision of the store at which the pairs were read, confirmedAt a
 	// time at which that was the newest one of the prefix.
-	revision    uint64
+	revision    store.Revision
 	confirmedAt time.Time
 	// operatorRevision is that of the last change by operators, agentRevision
 	// that of the last one by agents.
-	operatorRevision, agentRevision uint64
+	operatorRevision, agentRevision store.Revision
 	// times is how long the call took whose response changed the pairs.
 	times responseTimes
 }
@@ -115,18 +116,18 @@
 	w.publish(read.revision, read.confirmedAt, read.times)
 	w.refresh.clear()
 	w.setStatus(true, nil)
-	revision := read.revision
+	at := read.revision
 	for {
-		r := w.poll(ctx, revision)
+		r := w.poll(ctx, at)
 		if r.err != nil {
 			return r.err
 		}
-		revision = r.next
+		at = r.next
 		for _, e := range r.events {
 			w.raiseRevision(e.KV)
 		}
 		applyEvents(w.pairs, r.events)
-		w.publish(revision, r.confirmedAt, r.times)
+		w.publish(at, r.confirmedAt, r.times)
 		if len(r.events) > 0 {
 			w.refresh.clear()
 			w.pauseAfterChange(ctx)
@@ -148,10 +149,10 @@
 }
 
 // publish passes a copy of the pairs to onSnapshot.
-func (w *storeWatcher) publish(revision store.Revision, confirmedAt time.Time, times responseTimes) {
+func (w *storeWatcher) publish(at store.Revision, confirmedAt time.Time, times responseTimes) {
 	w.onSnapshot(storeSnapshot{
-		pairs: w.sortedPairs(), revision: uint64(revision), confirmedAt: confirmedAt, times: times,
-		operatorRevision: uint64(w.operatorRevision), agentRevision: uint64(w.agentRevision),
+		pairs: w.sortedPairs(), revision: at, confirmedAt: confirmedAt, times: times,
+		operatorRevision: w.operatorRevision, agentRevision: w.agentRevision,
 	})
 }
 
@@ -258,13 +259,13 @@
 	newest := list.Revision
 	for _, kv := range list.KVs {
 		r.pairs[kv.Key] = kv
-		newest = max(newest, kv.ModRevision)
+		newest = revision.Later(newest, kv.ModRevision)
 	}
 	if list.Pages <= 1 {
 		return r, nil
 	}
 	p := w.pollOnce(ctx, list.Revision, 0)
-	if p.err == nil && p.next < newest {
+	if p.err == nil && p.next.Before(newest) {
 		p.err = errPollBehindRead
 	}
 	if p.err != nil {
@@ -293,9 +294,9 @@
 // raiseRevision raises the revision of the writer of a changed pair.
 func (w *storeWatcher) raiseRevision(kv store.KeyValue) {
 	if w.isOperatorKey(kv.Key) {
-		w.operatorRevision = max(w.operatorRevision, kv.ModRevision)
+		w.operatorRevision = revision.Later(w.operatorRevision, kv.ModRevision)
 	} else {
-		w.agentRevision = max(w.agentRevision, kv.ModRevision)
+		w.agentRevision = revision.Later(w.agentRevision, kv.ModRevision)
 	}
 }
 
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -46,14 +46,16 @@
 	case steering.MessageQuery, steering.MessageReply, steering.MessageHeld:
 		buf = appendFlow(buf, m.Flow)
 		buf = binary.BigEndian.AppendUint32(buf, m.Ack)
-		buf = binary.BigEndian.AppendUint64(buf, m.MemberRevision)
-		return binary.BigEndian.AppendUint16(buf, m.Agents)
+		buf = appendPacked(buf, m.MemberRevision)
+		buf = binary.BigEndian.AppendUint16(buf, m.Agents)
+		return appendWhole(buf, m.MemberRevision)
 	case steering.MessagePing:
 		buf = appendLimits(buf, &m.Limits)
 		buf = append(buf, boolByte(m.Unlisted)*pingUnlisted|boolByte(m.ListSettled)*pingListSettled)
 		buf = binary.BigEndian.AppendUint16(buf, m.Agents)
 		buf = appendAge(buf, m.ConfirmedAge)
-		return appendMilliseconds(buf, m.TypicalRequestTime)
+		buf = appendMilliseconds(buf, m.TypicalRequestTime)
+		return appendWhole(buf, m.Limits.Revision, m.Limits.MemberRevision)
 	case steering.MessagePong:
 		return appendStatus(buf, &m.Status)
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
@@ -78,8 +80,8 @@
 }
 
 func appendLimits(buf []byte, l *steering.Limits) []byte {
-	buf = binary.BigEndian.AppendUint64(buf, l.Revision)
-	buf = binary.BigEndian.AppendUint64(buf, l.MemberRevision)
+	buf = appendPacked(buf, l.Revision)
+	buf = appendPacked(buf, l.MemberRevision)
 	buf = append(buf, boolByte(l.DomainOut))
 	return binary.BigEndian.AppendUint32(buf, math.Float32bits(l.ColdOpensPerSecond))
 }
@@ -92,7 +94,7 @@
 	buf = binary.BigEndian.AppendUint16(buf, s.InFlight)
 	buf = binary.BigEndian.AppendUint16(buf, s.RequestsPerSecond)
 	buf = binary.BigEndian.AppendUint32(buf, s.Flows)
-	buf = binary.BigEndian.AppendUint64(buf, s.Revision)
+	buf = appendPacked(buf, s.Revision)
 	buf = binary.BigEndian.AppendUint16(buf, s.Balancers)
 	buf = append(buf, s.SingleRequestLimit)
 	buf = appendAge(buf, s.ConfirmedAge)
@@ -100,7 +102,8 @@
 		buf = binary.BigEndian.AppendUint16(buf, n)
 	}
 	buf = appendMilliseconds(buf, s.RequestTime)
-	return binary.BigEndian.AppendUint16(buf, s.Concurrency)
+	buf = binary.BigEndian.AppendUint16(buf, s.Concurrency)
+	return appendWhole(buf, s.Revision)
 }
 
 // appendMilliseconds appends a duration in milliseconds, at least 1 unless it is 0.
@@ -174,15 +177,16 @@
 		}
 		m.Flow = steering.Flow{Caller: decodeEndpoint(body), Address: decodeEndpoint(body[6:])}
 		m.Ack = binary.BigEndian.Uint32(body[12:])
-		m.MemberRevision = binary.BigEndian.Uint64(body[16:])
+		m.MemberRevision = decodePacked(body[16:])
 		m.Agents = binary.BigEndian.Uint16(body[24:])
+		err = decodeWhole(body[flowSize:], &m.MemberRevision)
 	case steering.MessagePing:
 		if len(body) < pingSize {
 			return errTooShort
 		}
 		m.Limits = steering.Limits{
-			Revision:           binary.BigEndian.Uint64(body),
-			MemberRevision:     binary.BigEndian.Uint64(body[8:]),
+			Revision:           decodePacked(body),
+			MemberRevision:     decodePacked(body[packedSize:]),
 			DomainOut:          body[16] != 0,
 			ColdOpensPerSecond: math.Float32frombits(binary.BigEndian.Uint32(body[17:])),
 		}
@@ -191,6 +195,9 @@
 		if m.ConfirmedAge, err = decodeAge(body[pingSize:]); err == nil {
 			m.TypicalRequestTime, err = decodeTypical(body[min(len(body), pingSize+ageSize):])
 		}
+		if err == nil {
+			err = decodeWhole(body[min(len(body), pingSize+ageSize+typicalSize):], &m.Limits.Revision, &m.Limits.MemberRevision)
+		}
 	case steering.MessagePong:
 		if len(body) < statusSize {
 			return errTooShort
@@ -203,12 +210,15 @@
 			InFlight:          binary.BigEndian.Uint16(body[15:]),
 			RequestsPerSecond: binary.BigEndian.Uint16(body[17:]),
 			Flows:             binary.BigEndian.Uint32(body[19:]),
-			Revision:          binary.BigEndian.Uint64(body[23:]),
+			Revision:          decodePacked(body[23:]),
 			Balancers:         binary.BigEndian.Uint16(body[31:]), SingleRequestLimit: body[33],
 		}
 		if m.Status.ConfirmedAge, err = decodeAge(body[statusSize:]); err == nil {
 			err = decodeStatusDemand(&m.Status, body[min(len(body), statusSize+ageSize):])
 		}
+		if err == nil {
+			err = decodeWhole(body[min(len(body), statusSize+ageSize+demandSize):], &m.Status.Revision)
+		}
 	case steering.MessageOpen, steering.MessageForward, steering.MessageProbe, steering.MessageTrial,
 		steering.MessageRefused, steering.MessageMissed:
 		m.Segment, err = decode(body)
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -1,11 +1,14 @@
 package steerwire_test
 
 import (
+	"encoding/binary"
+	"math"
 	"reflect"
 	"testing"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/steerwire"
 )
 
@@ -31,11 +34,11 @@
 		{Kind: steering.MessageMissed, Verdict: steering.VerdictAbsent, Segment: segment},
 		{Kind: steering.MessageHeld, Flow: flow},
 		{Kind: steering.MessageQuery, Flow: flow, Ack: 9},
-		{Kind: steering.MessageReply, Flow: flow, Verdict: steering.VerdictTried, MemberRevision: 12, Agents: 600},
-		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: 3, MemberRevision: 4, DomainOut: true, ColdOpensPerSecond: 2.5}, ConfirmedAge: 1234 * time.Millisecond, TypicalRequestTime: 47 * time.Millisecond, Unlisted: true, Agents: 600},
+		{Kind: steering.MessageReply, Flow: flow, Verdict: steering.VerdictTried, MemberRevision: revision.New(1, 12), Agents: 600},
+		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: revision.New(1, 3), MemberRevision: revision.New(7, 4), DomainOut: true, ColdOpensPerSecond: 2.5}, ConfirmedAge: 1234 * time.Millisecond, TypicalRequestTime: 47 * time.Millisecond, Unlisted: true, Agents: 600},
 		{Kind: steering.MessagePing, ListSettled: true, Agents: 600},
 		{Kind: steering.MessagePong, Status: steering.Status{
-			Incarnation: 1, Service: 2, Refusal: steering.RefusedBusy, Slots: 3, InFlight: 4, RequestsPerSecond: 5, Flows: 6, Revision: 7, Balancers: 8, SingleRequestLimit: 9,
+			Incarnation: 1, Service: 2, Refusal: steering.RefusedBusy, Slots: 3, InFlight: 4, RequestsPerSecond: 5, Flows: 6, Revision: revision.New(1, 7), Balancers: 8, SingleRequestLimit: 9,
 			ConfirmedAge: steering.MaxConfirmedAge, Ahead: [steering.NumPriorities]uint16{1, 2, 3, 4}, RequestTime: 30 * time.Millisecond, Concurrency: 2,
 		}},
 	} {
@@ -114,3 +117,63 @@
 		}
 	}
 }
+
+// revisionsBeyondPacking do not fit in the field that nodes of earlier versions read.
+var revisionsBeyondPacking = []revision.Revision{
+	revision.New(1, 1<<44), revision.New(1, 1<<53+1), revision.New(1, math.MaxInt64),
+	revision.New(1<<19+1, 1), revision.New(math.MaxUint64, math.MaxInt64), revision.New(0, 5),
+}
+
+// messagesWithRevisions returns a message of each kind that holds revisions, with one of them or
+// all the same.
+func messagesWithRevisions(r revision.Revision) []steering.Message {
+	return []steering.Message{
+		{Kind: steering.MessageReply, Flow: flow, Verdict: steering.VerdictAbsent, MemberRevision: r, Agents: 600},
+		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: r, MemberRevision: revision.New(1, 7)}, TypicalRequestTime: time.Second},
+		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: revision.New(2, 7), MemberRevision: r}, ListSettled: true},
+		{Kind: steering.MessagePing, Limits: steering.Limits{Revision: r, MemberRevision: r}},
+		{Kind: steering.MessagePong, Status: steering.Status{Revision: r, RequestTime: time.Second, Concurrency: 3}},
+	}
+}
+
+// Revisions of any size survive between nodes (review/15).
+func TestHighRevisionsRoundTrip(t *testing.T) {
+	for _, r := range revisionsBeyondPacking {
+		for _, m := range messagesWithRevisions(r) {
+			raw := steerwire.Append(nil, &m)
+			got, err := steerwire.Decode(raw, rawSegment)
+			if err != nil || !reflect.DeepEqual(got, m) {
+				t.Errorf("decoded %+v, error %v, want %+v", got, err, m)
+			}
+			if _, err := steerwire.Decode(raw[:len(raw)-1], rawSegment); err == nil {
+				t.Errorf("kind %d with a truncated revision is accepted", m.Kind)
+			}
+		}
+	}
+}
+
+// Nodes of earlier versions read revisions that fit as before, and take others for none.
+func TestEarlierVersionsReadRevisionsThatFit(t *testing.T) {
+	const pingRevision, statusRevision, replyRevision = 8, 8 + 23, 8 + 16
+	offsets := map[steering.MessageKind]int{
+		steering.MessagePing: pingRevision, steering.MessagePong: statusRevision, steering.MessageReply: replyRevision,
+	}
+	packed := func(r revision.Revision, m int) uint64 {
+		message := messagesWithRevisions(r)[m]
+		return binary.BigEndian.Uint64(steerwire.Append(nil, &message)[offsets[message.Kind]:])
+	}
+	for _, m := range []int{0, 1, 4} {
+		if got, want := packed(revision.New(3, 1<<44-1), m), uint64(2<<44+1<<44-1); got != want {
+			t.Errorf("message %d: an earlier version reads %d, want %d", m, got, want)
+		}
+		for _, r := range revisionsBeyondPacking {
+			if got := packed(r, m); got != 0 {
+				t.Errorf("message %d: an earlier version reads %d for %v, want 0", m, got, r)
+			}
+		}
+	}
+	short, long := messagesWithRevisions(revision.New(1, 9))[3], messagesWithRevisions(revision.New(1, 1<<44))[3]
+	if got := len(steerwire.Append(nil, &long)) - len(steerwire.Append(nil, &short)); got != 32 {
+		t.Errorf("two revisions that do not fit take %d more bytes, want 32", got)
+	}
+}
--- a/internal/store/encode.go
+++ b/internal/store/encode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store/etcdjson"
 )
 
@@ -11,10 +12,21 @@
 		Key:            []byte(r.Key),
 		RangeEnd:       []byte(r.End),
 		Limit:          int64(r.Limit),
-		MinModRevision: int64(r.MinModRevision),
+		MinModRevision: minModRevision(r.After),
 	}
 }
 
+// minModRevision returns the lowest revision that is read, 0 for all.
+func minModRevision(after Revision) int64 {
+	if after.IsZero() {
+		return 0
+	}
+	return after.Number() + 1
+}
+
+// etcdRevision returns a revision that etcd has told.
+func etcdRevision(number int64) Revision { return revision.New(FirstEra, number) }
+
 // encodeTxn encodes a transaction and reports whether it writes.
 func encodeTxn(t Txn) (etcdjson.TxnRequest, bool) {
 	var out etcdjson.TxnRequest
@@ -23,7 +35,7 @@
 			Result:      etcdjson.CompareEqual,
 			Target:      etcdjson.CompareMod,
 			Key:         []byte(c.Key),
-			ModRevision: int64(c.ModRevision),
+			ModRevision: c.ModRevision.Number(),
 		})
 	}
 	writes := false
@@ -51,7 +63,7 @@
 // decodeRange takes the header separately, because range responses within a
 // transaction may omit it.
 func decodeRange(response *etcdjson.RangeResponse, header etcdjson.Header) RangeResult {
-	result := RangeResult{Revision: Revision(header.Revision)}
+	result := RangeResult{Revision: etcdRevision(header.Revision)}
 	for _, kv := range response.Kvs {
 		result.KVs = append(result.KVs, decodeKeyValue(kv))
 	}
@@ -62,13 +74,13 @@
 	return KeyValue{
 		Key:         string(kv.Key),
 		Value:       kv.Value,
-		ModRevision: Revision(kv.ModRevision),
+		ModRevision: etcdRevision(kv.ModRevision),
 		Lease:       LeaseID(kv.Lease),
 	}
 }
 
 func decodeTxn(t Txn, response *etcdjson.TxnResponse) (TxnResult, error) {
-	result := TxnResult{Revision: Revision(response.Header.Revision)}
+	result := TxnResult{Revision: etcdRevision(response.Header.Revision)}
 	if len(response.Responses) != len(t.Ops) {
 		return TxnResult{}, fmt.Errorf("%d responses to %d operations", len(response.Responses), len(t.Ops))
 	}
--- a/internal/store/etcd_test.go
+++ b/internal/store/etcd_test.go
@@ -80,9 +80,9 @@
 	if _, err := c.Txn(ctx, store.Txn{Ops: []store.Op{store.Delete{Key: "a/1"}, store.Put{Key: "a/3"}}}); err != nil {
 		t.Fatal(err)
 	}
-	newer, err := c.Range(ctx, store.Range{Key: "a/", End: store.PrefixEnd("a/"), MinModRevision: result.Revision + 1})
+	newer, err := c.Range(ctx, store.Range{Key: "a/", End: store.PrefixEnd("a/"), After: result.Revision})
 	if err != nil || len(newer.KVs) != 1 || newer.KVs[0].Key != "a/3" {
-		t.Errorf("changed since revision %d: %+v, %v", result.Revision, newer, err)
+		t.Errorf("changed since revision %v: %+v, %v", result.Revision, newer, err)
 	}
 	limited, err := c.Range(ctx, store.Range{Key: "a/", End: store.PrefixEnd("a/"), Limit: 1})
 	if err != nil || len(limited.KVs) != 1 || limited.KVs[0].Key != "a/2" {
@@ -205,14 +205,17 @@
 func TestWatchFromPastRevisionUntilDropped(t *testing.T) {
 	server, url := startServer(t)
 	c := newClient(refusedEndpoint, url)
-	first, err := c.Txn(t.Context(), putTxn("k", "1"))
+	before, err := c.Txn(t.Context(), putTxn("other", "1"))
 	if err != nil {
 		t.Fatal(err)
 	}
+	if _, err := c.Txn(t.Context(), putTxn("k", "1")); err != nil {
+		t.Fatal(err)
+	}
 	events := make(chan store.Event, 8)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- c.Watch(t.Context(), "k", first.Revision, func(e store.Event) { events <- e })
+		ended <- c.Watch(t.Context(), "k", before.Revision, func(e store.Event) { events <- e })
 	}()
 	if e := <-events; string(e.KV.Value) != "1" {
 		t.Errorf("first event: %+v", e)
@@ -232,7 +235,7 @@
 func TestUnconfirmedWatchTimesOut(t *testing.T) {
 	server, url := startServer(t)
 	server.SetFaults(standin.Faults{SlowMS: 600})
-	err := newClient(url).Watch(t.Context(), "k", 0, func(store.Event) {})
+	err := newClient(url).Watch(t.Context(), "k", store.Revision{}, func(store.Event) {})
 	if !errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got %v", err)
 	}
--- a/internal/store/fuzz_test.go
+++ b/internal/store/fuzz_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	kv := result.Ranges[0].KVs[0]
-	if !response.Succeeded || result.Revision != 3 || kv.Key != "foo" || string(kv.Value) != "bar" || kv.ModRevision != 3 {
+	if !response.Succeeded || result.Revision != etcdRevision(3) || kv.Key != "foo" || string(kv.Value) != "bar" || kv.ModRevision != etcdRevision(3) {
 		t.Errorf("got %+v", result)
 	}
 }
--- a/internal/store/polling.go
+++ b/internal/store/polling.go
@@ -16,12 +16,11 @@
 }
 
 // PollingStore is a key-value service whose watches are long polls over a
-// prefix. Revisions also hold the era of the store: see NewRevision. Calls return the
-// errors of this package. It is safe for concurrent use.
+// prefix. Calls return the errors of this package. It is safe for concurrent use.
 type PollingStore interface {
 	// Era returns the era of the latest response, at least FirstEra. An era begins when
 	// the store is restored from a copy: changes after the copy are lost, leases too, and
-	// their revisions are given out again.
+	// the numbers of their revisions are given out again.
 	Era() uint64
 	// List reads all pairs under a prefix, in pages. It fails with ErrCompacted if the store
 	// was restored while the pages were read.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,11 +6,16 @@
 import (
 	"context"
 	"time"
+
+	"amaranthwheel.example/amaranthwheel/internal/revision"
 )
 
-// Revision numbers the store's states. Every write increments it; a key that
-// does not exist has revision 0.
-type Revision int64
+// Revision is a state of the store. Every write leads to a later one; a key that does not
+// exist has the zero value. Stores whose protocol has no eras are always in the first.
+type Revision = revision.Revision
+
+// FirstEra is the era of a store that was never restored from a copy.
+const FirstEra = revision.FirstEra
 
 // LeaseID identifies a lease. The zero value is no lease.
 type LeaseID int64
@@ -35,8 +40,9 @@
 	End string
 	// Limit is the largest number of pairs to read; 0 means no limit.
 	Limit int
-	// MinModRevision excludes pairs that were last written before it.
-	MinModRevision Revision
+	// After excludes pairs that were last written at this revision or before; the zero value
+	// excludes none.
+	After Revision
 }
 
 // Put writes a pair.
@@ -68,7 +74,7 @@
 }
 
 // Compare is a condition of a transaction: the key was last written at
-// ModRevision. Revision 0 requires that the key does not exist.
+// ModRevision. The zero value requires that the key does not exist.
 type Compare struct {
 	Key         string
 	ModRevision Revision
@@ -122,8 +128,8 @@
 	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
 	// Revoke revokes a lease and deletes its keys.
 	Revoke(ctx context.Context, id LeaseID) error
-	// Watch calls notify for every change of the key at or after the revision,
+	// Watch calls notify for every change of the key after the revision,
 	// in order, until the context or the stream ends. It always returns an
 	// error, after which the caller should read the key again and resume.
-	Watch(ctx context.Context, key string, from Revision, notify func(Event)) error
+	Watch(ctx context.Context, key string, after Revision, notify func(Event)) error
 }
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -17,8 +17,8 @@
 
 // Watch implements Store. It tries the endpoints in turn like a read, but does
 // not fail over once the watch has started.
-func (e *Etcd) Watch(ctx context.Context, key string, from Revision, notify func(Event)) error {
-	create := &etcdjson.WatchCreateRequest{Key: []byte(key), StartRevision: int64(from)}
+func (e *Etcd) Watch(ctx context.Context, key string, after Revision, notify func(Event)) error {
+	create := &etcdjson.WatchCreateRequest{Key: []byte(key), StartRevision: after.Number() + 1}
 	body, err := json.Marshal(etcdjson.WatchRequest{Create: create})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrRejected, err)
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -164,6 +164,10 @@
 	return after, errors.Join(r.violations...)
 }
 
+// highRevision is where the store's counter starts at every second seed: it fits neither in the
+// 44 bits of a packed revision nor in a floating-point number.
+const highRevision = 1<<53 + 1
+
 // sleep waits for the duration or the context's end.
 func (r *run) sleep(d time.Duration) {
 	select {
@@ -196,6 +200,9 @@
 	if err := r.startLinks(net); err != nil {
 		return err
 	}
+	if o.Breadth == All && o.Seed%2 == 1 {
+		r.store.StartAt(highRevision)
+	}
 	if err := r.store.Serve(storeAddr); err != nil {
 		return err
 	}
