A store that can't be used is not read without a pause, or in silence

Cause: after ErrCompacted the watcher read again at once, whether or not the watch had led to anything, and a watch that was never established was never reported as lost. Registrations that the store serves and refuses were repeated every second.

--- a/internal/core/steering/balancer.go
+++ b/internal/core/steering/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -140,18 +141,19 @@
 	}
 }
 
-// Ready reports whether the balancer can serve: it has the configuration, the list
-// of agents, and the status of at least one agent unless the list is empty.
-func (b *Balancer) Ready(now time.Time) bool {
-	if !b.config.loaded || !b.members.loaded {
-		return false
-	}
-	for _, m := range b.members.all {
-		if m.isLive(now) {
-			return true
-		}
+// UnreadyReason returns why the balancer can't serve, or "" if it can: it has the
+// configuration, the list of agents, and the status of at least one agent unless the list is
+// empty.
+func (b *Balancer) UnreadyReason(now time.Time) string {
+	switch {
+	case !b.config.loaded:
+		return "no configuration is in force"
+	case !b.members.loaded:
+		return "the list of agents was not read"
+	case len(b.members.byPeer) == 0 || slices.ContainsFunc(b.members.all, func(m *member) bool { return m.isLive(now) }):
+		return ""
 	}
-	return len(b.members.byPeer) == 0
+	return "no agent replies"
 }
 
 // Version returns the version of the configuration in force, 0 if none is.
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -104,7 +104,7 @@
 	if err := a.serve(a.settings.Announce, target); err != nil {
 		return err
 	}
-	if err := a.startCommon(metrics, a.ready, agentTickInterval, a.countersByName()); err != nil {
+	if err := a.startCommon(metrics, a.unreadyReason, agentTickInterval, a.countersByName()); err != nil {
 		return err
 	}
 	a.wg.Go(func() { a.runEvery(gaugeInterval, a.updateGauges) })
@@ -202,10 +202,14 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func (a *Agent) ready() bool {
+// unreadyReason returns why the agent serves no target, or "" if it does.
+func (a *Agent) unreadyReason() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.steering.HasLiveTarget(time.Now())
+	if a.steering.HasLiveTarget(time.Now()) {
+		return ""
+	}
+	return "the target sends no heartbeats"
 }
 
 // Stop stops the agent. Unless the target has ended, the record stays and the
@@ -250,5 +254,6 @@
 		"direct_requests_kept":      &c.RequestsKept,
 		"direct_requests_released":  &c.RequestsReleased,
 		"direct_requests_abandoned": &c.RequestsAbandoned,
+		"direct_store_failures":     &a.registrar.failed,
 	}
 }
--- a/internal/direct/balancer.go
+++ b/internal/direct/balancer.go
@@ -41,6 +41,7 @@
 	// segment is the event that the goroutine reading callers' segments reuses.
 	segment steering.SegmentReceived
 	refresh signal
+	watcher *storeWatcher
 	loads   loadHistograms
 	// operatorState and members are the last state read from the store. Only the
 	// watcher's goroutine uses them.
@@ -60,6 +61,10 @@
 		refresh: newSignal(), loads: newLoadHistograms(metrics),
 	}
 	b.core, b.performRoleEffect = b.steering, b.performBalancerEffect
+	b.watcher = &storeWatcher{
+		store: p.Store, prefix: p.WatchPrefix, pollWait: b.pollWait, changePause: b.changePause, refresh: b.refresh,
+		isOperatorKey: p.IsOperatorKey, onSnapshot: b.handleSnapshot, onFailing: b.logWatchFailing, onEstablished: b.logWatchEstablished,
+	}
 	return b
 }
 
@@ -73,14 +78,10 @@
 	if b.peerConn, err = listenUDP(b.settings.Peer); err != nil {
 		return fmt.Errorf("listen for agents: %w", err)
 	}
-	if err := b.startCommon(metrics, b.ready, steering.TickInterval, b.countersByName()); err != nil {
+	if err := b.startCommon(metrics, b.unreadyReason, steering.TickInterval, b.countersByName()); err != nil {
 		return err
 	}
-	w := &storeWatcher{
-		store: b.platform.Store, prefix: b.platform.WatchPrefix, pollWait: b.pollWait, changePause: b.changePause, refresh: b.refresh,
-		isOperatorKey: b.platform.IsOperatorKey, onSnapshot: b.handleSnapshot, onStatus: b.logStoreStatus,
-	}
-	b.wg.Go(func() { w.run(b.ctx) })
+	b.wg.Go(func() { b.watcher.run(b.ctx) })
 	b.wg.Go(func() { b.runEvery(gaugeInterval, b.updateGauges) })
 	b.wg.Go(func() { readDatagrams(b.segmentConn, b.handleCallerSegment) })
 	b.info("Balancer started.", "node", b.settings.Node, "domain", b.settings.Domain, "segments", b.settings.Segments, "apply_timeout", b.steering.ApplyTimeout())
@@ -126,12 +127,20 @@
 	return pause/2 + rand.N(pause)
 }
 
-func (b *Balancer) logStoreStatus(up bool, err error) {
-	if up {
-		b.info("Store watch is established.")
-	} else {
+func (b *Balancer) logWatchFailing(err error, lost bool) {
+	if lost {
 		b.warn("Store watch is lost.", err)
+	} else {
+		b.warn("Store watch can't be established.", err)
+	}
+}
+
+func (b *Balancer) logWatchEstablished(f watchFailures) {
+	if f.attempts == 0 {
+		b.info("Store watch is established.")
+		return
 	}
+	b.info("Store watch is established.", "failures", f.attempts, "after", time.Since(f.since).Round(time.Millisecond), "last_err", errorText(f.err))
 }
 
 // handleSnapshot passes the contents of the store to the core. It decodes only
@@ -202,11 +211,18 @@
 	}
 }
 
-// ready reports whether routers may send segments here.
-func (b *Balancer) ready() bool {
+// unreadyReason returns why routers may not send segments here, or "" if they may.
+func (b *Balancer) unreadyReason() string {
+	if b.stopping.Load() {
+		return "stopping"
+	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.stopping.Load() && b.steering.Ready(time.Now())
+	reason := b.steering.UnreadyReason(time.Now())
+	b.mu.Unlock()
+	if f := b.watcher.currentFailures(); reason != "" && f.err != nil {
+		reason += "; " + errorText(f.err)
+	}
+	return reason
 }
 
 // Stop fails the readiness checks of routers and forwards until they send elsewhere.
@@ -247,5 +263,6 @@
 		"direct_unrouted":               &c.Unrouted,
 		"direct_unknown":                &c.SearchesAbandoned,
 		"direct_cache_full":             &c.CacheFull,
+		"direct_store_watch_failures":   &b.watcher.failed,
 	}
 }
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -33,6 +34,9 @@
 	mu   sync.Mutex
 	last storeSnapshot
 	up   bool
+	// failing and established are the calls of onFailing and onEstablished.
+	failing     []string
+	established []watchFailures
 }
 
 func (o *observedStore) get() storeSnapshot {
@@ -63,10 +67,17 @@
 			defer out.mu.Unlock()
 			out.last = s
 		},
-		onStatus: func(up bool, _ error) {
+		onFailing: func(err error, lost bool) {
 			out.mu.Lock()
 			defer out.mu.Unlock()
-			out.up = up
+			out.up = false
+			out.failing = append(out.failing, fmt.Sprintf("lost %v: %v", lost, err))
+		},
+		onEstablished: func(f watchFailures) {
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			out.up = true
+			out.established = append(out.established, f)
 		},
 	}
 	runWatcher(t, w)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -137,13 +137,18 @@
 	return nil
 }
 
-// readyHandler responds with 200 while the node is ready for traffic and 503 otherwise.
-func readyHandler(path string, ready func() bool) http.Handler {
+// readyHandler responds with 200 while the node is ready for traffic, and otherwise with 503
+// and the reason.
+func readyHandler(path string, unreadyReason func() string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		reason := unreadyReason()
+		if reason == "" {
+			return
 		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		writeJSON(w, map[string]string{"reason": reason})
 	})
 	return mux
 }
@@ -207,8 +212,8 @@
 
 // startCommon starts what both roles have: the HTTP servers, the reading of
 // messages from peers, the ticks and the export of counters.
-func (n *node) startCommon(metrics http.Handler, ready func() bool, tick time.Duration, roleCounters process.Counters) error {
-	if err := n.serve(n.settings.Ready, readyHandler(n.platform.ReadyPath, ready)); err != nil {
+func (n *node) startCommon(metrics http.Handler, unreadyReason func() string, tick time.Duration, roleCounters process.Counters) error {
+	if err := n.serve(n.settings.Ready, readyHandler(n.platform.ReadyPath, unreadyReason)); err != nil {
 		return err
 	}
 	if err := n.serve(n.settings.Metrics, n.withViewHandlers(metrics)); err != nil {
@@ -292,8 +297,13 @@
 const maxErrorLength = 300
 
 func (n *node) warn(text string, err error) {
-	message := err.Error()
-	_ = level.Warn(n.logger).Log("msg", text, "err", message[:min(len(message), maxErrorLength)])
+	_ = level.Warn(n.logger).Log("msg", text, "err", errorText(err))
+}
+
+// errorText returns the text of an error, cut to maxErrorLength.
+func errorText(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxErrorLength)]
 }
 
 // close stops the goroutines and closes the servers and the socket to peers.
--- a/internal/direct/paged_read_test.go
+++ b/internal/direct/paged_read_test.go
@@ -207,7 +207,7 @@
 	w := &storeWatcher{
 		store: newStoreClient(s), prefix: platform.WatchPrefix, refresh: newSignal(), isOperatorKey: platform.IsOperatorKey,
 		pollWait: func() time.Duration { return 20 * time.Millisecond }, changePause: func() time.Duration { return time.Millisecond },
-		onStatus: func(bool, error) {},
+		onFailing: func(error, bool) {}, onEstablished: func(watchFailures) {},
 		onSnapshot: func(s storeSnapshot) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/direct/registrar.go
+++ b/internal/direct/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"amaranthwheel.example/amaranthwheel/internal/core/steering"
@@ -48,7 +49,11 @@
 	// deleted reports that the stored record was deleted as desired.
 	deleted   bool
 	storeDown bool
-	saver     *saver
+	// lastFailure is the error of the last failed call.
+	lastFailure error
+	// failed counts the calls to the store that have failed.
+	failed atomic.Uint64
+	saver  *saver
 	// era is that of the store as last seen.
 	era uint64
 }
@@ -90,12 +95,12 @@
 
 // readPrevious reads the record of an earlier process. It retries until it succeeds.
 func (r *registrar) readPrevious(ctx context.Context) {
-	retry := newBackoff()
+	retry := newStoreRetry()
 	for ctx.Err() == nil {
 		kv, found, err := r.served.get(ctx, r.store)
 		if err != nil {
 			r.markStoreDown(err)
-			sleep(ctx, retry.NextBackOff())
+			sleep(ctx, retry.next(err))
 			continue
 		}
 		previous := r.decodePrevious(kv, found)
@@ -127,7 +132,7 @@
 // storeDesired writes the record, or deletes the stored one if none is desired. It
 // retries until it succeeds or the desired record changes.
 func (r *registrar) storeDesired(ctx context.Context) {
-	retry := newBackoff()
+	retry := newStoreRetry()
 	for ctx.Err() == nil && len(r.desired) == 0 {
 		err := r.storeOnce(ctx)
 		if err == nil {
@@ -135,7 +140,7 @@
 			return
 		}
 		r.markStoreDown(err)
-		sleep(ctx, retry.NextBackOff())
+		sleep(ctx, retry.next(err))
 	}
 }
 
@@ -302,6 +307,8 @@
 
 // markStoreDown logs the first failure after a success.
 func (r *registrar) markStoreDown(err error) {
+	r.failed.Add(1)
+	r.lastFailure = err
 	if !r.storeDown {
 		r.storeDown = true
 		r.warn("Store is unavailable.", err)
@@ -312,6 +319,6 @@
 func (r *registrar) markStoreUp() {
 	if r.storeDown {
 		r.storeDown = false
-		r.info("Store is available again.")
+		r.info("Store is available again.", "last_err", errorText(r.lastFailure))
 	}
 }
--- a/internal/direct/watcher.go
+++ b/internal/direct/watcher.go
@@ -6,29 +6,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"amaranthwheel.example/amaranthwheel/internal/revision"
 	"amaranthwheel.example/amaranthwheel/internal/store"
 )
 
-const (
-	// minRetryInterval and maxRetryInterval bound the backoff after a failed
-	// call. The maximum is small because a node without a configuration can't serve.
-	minRetryInterval = 100 * time.Millisecond
-	maxRetryInterval = time.Second
-)
-
-// newBackoff returns the jittered exponential backoff of failed calls to the store.
-func newBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = minRetryInterval
-	b.MaxInterval = maxRetryInterval
-	return b
-}
-
 // storeWatcher maintains a copy of the pairs under a key prefix of the store.
 type storeWatcher struct {
 	store  store.PollingStore
@@ -41,9 +26,11 @@
 	isOperatorKey func(key string) bool
 	// onSnapshot is called with the copy after each successful call.
 	onSnapshot func(storeSnapshot)
-	// onStatus is called with true when the watch is established, and with false
-	// and the error when it is lost.
-	onStatus func(bool, error)
+	// onFailing is called with the error when the watch is lost, or can't be established at
+	// first; once until it is established.
+	onFailing func(err error, lost bool)
+	// onEstablished is called when the watch is established, with the failures before it.
+	onEstablished func(watchFailures)
 	// refresh requests a check for changes that does not rely on the waiting poll.
 	refresh signal
 	// arrivals are the responses that have begun to arrive.
@@ -53,7 +40,32 @@
 	// operatorRevision and agentRevision are the revisions of the last change by
 	// operators and by agents.
 	operatorRevision, agentRevision store.Revision
-	up                              bool
+	// polled reports that a poll has succeeded since the last read, refusedPolls how many times
+	// in series that was not so.
+	polled       bool
+	refusedPolls int
+	// failed counts the attempts to watch that have failed.
+	failed atomic.Uint64
+
+	mu          sync.Mutex // guards the fields below
+	established bool
+	failures    watchFailures
+}
+
+// watchFailures is the failed attempts to watch since the watch was last established. The zero
+// value means none.
+type watchFailures struct {
+	// err is that of the last attempt, since the time of the first one.
+	err      error
+	attempts int
+	since    time.Time
+}
+
+// currentFailures returns the failed attempts since the watch was last established.
+func (w *storeWatcher) currentFailures() watchFailures {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failures
 }
 
 // storeSnapshot is the contents of a key prefix of the store.
@@ -80,49 +92,77 @@
 
 // run watches the prefix until the context ends.
 func (w *storeWatcher) run(ctx context.Context) {
-	retry := newBackoff()
+	retry := newStoreRetry()
 	for ctx.Err() == nil {
-		err := w.watch(ctx, retry)
+		w.polled = false
+		err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			continue
-		}
-		w.setStatus(false, err)
-		if errors.Is(err, store.ErrCompacted) && !errors.Is(err, errIncompleteRead) {
-			continue
+		w.recordFailure(err)
+		if w.polled {
+			retry.reset()
+			if errors.Is(err, store.ErrCompacted) {
+				continue // the store may drop its history: the pairs are read again at once
+			}
 		}
-		sleep(ctx, retry.NextBackOff())
+		sleep(ctx, retry.next(err))
 	}
 }
 
-func (w *storeWatcher) setStatus(up bool, err error) {
-	if w.up == up {
-		return
+// recordFailure records that an attempt to watch has failed.
+func (w *storeWatcher) recordFailure(err error) {
+	w.failed.Add(1)
+	w.mu.Lock()
+	first, lost := w.failures.attempts == 0, w.established
+	if first {
+		w.failures.since = time.Now()
+	}
+	w.failures.err = err
+	w.failures.attempts++
+	w.established = false
+	w.mu.Unlock()
+	if first {
+		w.onFailing(err, lost)
 	}
-	w.up = up
-	w.onStatus(up, err)
 }
 
-// watch reads all pairs and polls for changes until a call fails.
-func (w *storeWatcher) watch(ctx context.Context, retry *backoff.ExponentialBackOff) error {
+// recordEstablished records that the watch is established.
+func (w *storeWatcher) recordEstablished() {
+	w.mu.Lock()
+	failures, established := w.failures, w.established
+	w.failures, w.established = watchFailures{}, true
+	w.mu.Unlock()
+	if !established {
+		w.onEstablished(failures)
+	}
+}
+
+// watch reads all pairs and polls for changes until a call fails. The watch counts as
+// established once the pairs were read, or only once a poll has succeeded if the store has
+// refused the first poll after a read before.
+func (w *storeWatcher) watch(ctx context.Context) error {
 	read, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
-	retry.Reset()
 	w.replacePairs(read)
 	w.publish(read.revision, read.confirmedAt, read.times)
 	w.refresh.clear()
-	w.setStatus(true, nil)
+	if w.refusedPolls == 0 {
+		w.recordEstablished()
+	}
 	at := read.revision
 	for {
 		r := w.poll(ctx, at)
 		if r.err != nil {
+			if !w.polled {
+				w.refusedPolls++
+			}
 			return r.err
 		}
 		at = r.next
+		w.recordPolled()
 		for _, e := range r.events {
 			w.raiseRevision(e.KV)
 		}
@@ -135,6 +175,12 @@
 	}
 }
 
+// recordPolled records that a poll has succeeded.
+func (w *storeWatcher) recordPolled() {
+	w.polled, w.refusedPolls = true, 0
+	w.recordEstablished()
+}
+
 // pauseAfterChange waits before the next poll, so that a series of changes
 // costs few calls. A requested refresh ends the pause.
 func (w *storeWatcher) pauseAfterChange(ctx context.Context) {
@@ -215,6 +261,7 @@
 				return r
 			default:
 				confirmedAt = r.confirmedAt
+				w.recordPolled()
 				w.publish(r.next, r.confirmedAt, r.times)
 			}
 		}
