Saved flows show that the host runs on

An agent compares the host's clock and the time of day of its last registration to tell whether the host has started since. Over months, steps of the time of day may add up to more than the minute that is allowed, which looks like a start and would prove a target unserved. Flows that were saved seconds before the process ended show that the host runs on.

--- a/internal/core/steering/first_heartbeat_test.go
+++ b/internal/core/steering/first_heartbeat_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// The time of day was set by two minutes since an agent registered, which looks as if the host
+// had started since. Flows that it saved shortly before it ended show that the host runs on.
+func TestSavedFlowsShowThatTheHostRunsOn(t *testing.T) {
+	for name, saved := range map[string]bool{"flows saved": true, "no flows saved": false} {
+		a := startAgentProcess(3 * time.Hour)
+		if saved {
+			a.Step(a.now, &steering.SavedFlows{Incarnation: endedIncarnation, SavedAt: 3*time.Hour - 5*time.Second, SavedTime: a.now.Add(-5 * time.Second)})
+		}
+		e := recordOf(endedIncarnation)
+		e.WrittenAt, e.WrittenTime = time.Hour, a.now.Add(-2*time.Hour-2*time.Minute)
+		a.Step(a.now, e)
+		a.sendHeartbeat(a.now.UnixMilli()-300, 1)
+		want := steering.VerdictAbsent
+		if saved {
+			want = steering.VerdictUnsure
+		}
+		if got := a.verdictOn(1); got != want {
+			t.Errorf("%s: verdict %s, want %s", name, got, want)
+		}
+	}
+}
+
 // A target starts while its agent runs, which has not read the store. The agent knows all of
 // the target's flows, also if the first heartbeats were lost.
 func TestTargetThatStartedBesideAnAgentWithoutTheStoreIsComplete(t *testing.T) {
--- a/internal/core/steering/saved.go
+++ b/internal/core/steering/saved.go
@@ -147,6 +147,7 @@
 		return
 	}
 	a.target.savedFlows = s
+	a.target.savedSinceHostStart = s.SavedAt > 0 && !a.hostRestartedSince(s.SavedAt, s.SavedTime)
 	a.report(Report{Text: "Saved flows were read.", Node: a.identity.Node, Why: savedState(s), Count: len(s.Flows), Incarnation: s.Incarnation})
 	if !a.target.known {
 		a.flows.addSaved(now, a.lastHeld(s), s.Flows)
--- a/internal/core/steering/target.go
+++ b/internal/core/steering/target.go
@@ -136,8 +136,10 @@
 	writtenIncarnation int64
 	previous           storedRecord
 	// savedFlows is the flows that an earlier process of this agent saved, until they
-	// are applied.
-	savedFlows *SavedFlows
+	// are applied. savedSinceHostStart reports that they were saved since the host's last
+	// start.
+	savedFlows          *SavedFlows
+	savedSinceHostStart bool
 	// complete is why the agent knows all flows of the target's incarnation, if it does.
 	complete completeness
 	// absent reports that no target runs: see handleProbed. lastProbe is when the
@@ -277,7 +279,9 @@
 	t.previous = storedRecord{known: true, incomplete: e.Incomplete, found: e.Found}
 	if e.Found {
 		t.previous.incarnation, t.previous.others = e.Record.Incarnation, e.Others
-		t.previous.sinceHostStart = !a.hostRestartedSince(e.WrittenAt, e.WrittenTime)
+		// Steps of the time of day may add up since the record was written; flows are saved
+		// more often.
+		t.previous.sinceHostStart = t.savedSinceHostStart || !a.hostRestartedSince(e.WrittenAt, e.WrittenTime)
 	}
 	a.report(Report{Text: "Record of the earlier process is known.", Node: a.identity.Node, Why: recordState(e), Incarnation: e.Record.Incarnation})
 	if !t.known {
